Serve a query from end to end with separate processes

Change: design page, settings, logs, metrics, state charts, event loop, HTTP server and client, a first query engine, the programs apricot-entry, apricot-control, apricot-upstream, apricot-load and apricotctl, scripts for quick start, test and lint, and their tests.

Conclusion: the whole path stands, thin: one control host, no replication, no hedging, no queueing yet.

--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds everything: scripts/build.sh [FOLDER [CMAKE OPTION...]]. The default folder is build.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+folder=${1:-build}
+shift || true
+cmake -S . -B "$folder" -G Ninja "$@" >"/tmp/apricot-cmake.$$" || { cat "/tmp/apricot-cmake.$$"; exit 1; }
+rm -f "/tmp/apricot-cmake.$$"
+ninja -C "$folder" -j "${JOBS:-10}" --quiet
--- /dev/null
+++ b/scripts/deployment.sh
@@ -0,0 +1,101 @@
+# Starts and stops a small deployment on loopback addresses. Sourced by other scripts.
+# Control hosts 127.$net.1.N, entry hosts 127.$net.2.N, upstreams 127.$net.3.N; set net (0 to 255) to run
+# several deployments side by side.
+
+net=${net:-0}
+controls=${controls:-1}
+entries=${entries:-3}
+services=${services:-10}
+replicas=${replicas:-3}
+centres=(bolu duzce sakarya)
+control_admin=()
+control_rpc=()
+entry_http=()
+deployment_pids=()
+
+toml_list() {
+  local out="" item
+  for item in "$@"; do out="$out\"$item\", "; done
+  echo "[${out%, }]"
+}
+
+# start_process NAME PROGRAM: starts build/PROGRAM with the settings $folder/NAME.toml.
+start_process() {
+  build/"$2" --settings "$folder/$1.toml" >"$folder/$1.out" 2>"$folder/$1.log" &
+  deployment_pids+=($!)
+  echo $! >>"$folder/pids"
+  echo $! >"$folder/$1.pid"
+}
+
+start_deployment() {
+  folder=$1
+  rm -rf "$folder"
+  mkdir -p "$folder"
+  local n s r index=0
+  for n in $(seq "$controls"); do
+    control_admin+=("127.$net.1.$n:7100")
+    control_rpc+=("127.$net.1.$n:7101")
+  done
+  for n in $(seq "$entries"); do entry_http+=("127.$net.2.$n:7200"); done
+  for n in $(seq "$controls"); do
+    cat >"$folder/control-$n.toml" <<TOML
+host = "control-$n"
+data_folder = "$folder/control-$n"
+admin_address = "${control_admin[n - 1]}"
+rpc_address = "${control_rpc[n - 1]}"
+TOML
+    start_process "control-$n" apricot-control
+  done
+  for n in $(seq "$entries"); do
+    cat >"$folder/entry-$n.toml" <<TOML
+host = "entry-$n"
+data_centre = "${centres[(n - 1) % 3]}"
+address = "${entry_http[n - 1]}"
+control = $(toml_list "${control_rpc[@]}")
+TOML
+    start_process "entry-$n" apricot-entry
+  done
+  for s in $(seq "$services"); do
+    for r in $(seq "$replicas"); do
+      index=$((index + 1))
+      cat >"$folder/service-$s-$r.toml" <<TOML
+id = "service-$s-$r"
+service = "service-$s"
+data_centre = "${centres[(r - 1) % 3]}"
+address = "127.$net.3.$index:7300"
+entries = $(toml_list "${entry_http[@]}")
+slots = 5
+connections = 40
+service_time = "2ms"
+TOML
+      start_process "service-$s-$r" apricot-upstream
+    done
+  done
+}
+
+# Waits until an entry host answers a query of the collection with full coverage, 20 s at most.
+wait_for_coverage() {
+  local i
+  for i in $(seq 100); do
+    if curl -s -m 2 -d "{\"collection\":\"$2\",\"query\":\"ready\"}" "http://$1/v1/query" |
+      grep -q '"name":"Ok"'; then
+      return 0
+    fi
+    sleep 0.2
+  done
+  echo "no full coverage of $2 from $1 within 20 s; see $folder/*.log" >&2
+  return 1
+}
+
+stop_deployment() {
+  local pid failed=0
+  kill "${deployment_pids[@]}" 2>/dev/null || true
+  for pid in "${deployment_pids[@]}"; do
+    wait "$pid" || failed=$((failed + 1))
+  done
+  deployment_pids=()
+  if [ "$failed" -ne 0 ]; then
+    echo "$failed processes did not stop cleanly; see $folder/*.log" >&2
+    return 1
+  fi
+}
--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,361 @@
+#include "http_client.h"
+
+#include "settings.h"
+
+#include <algorithm>
+#include <array>
+
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <sys/epoll.h>
+
+namespace apricotyard {
+
+namespace {
+
+// Idle connections kept over all servers.
+constexpr long kIdleConnections = 4096;
+constexpr std::size_t kMaxPooledHandles = 1024;
+// The part of a transfer's time that may be spent on a new connection.
+constexpr int kConnectTimeShare = 2;
+
+struct Transfer
+{
+  TransferId mId = 0;
+  CURL* mEasy = nullptr;
+  curl_slist* mHeaderList = nullptr;
+  ClientRequest mRequest;
+  ClientReply mReply;
+  ClientHandler mHandler;
+  bool mExpectedSeen = false;
+  bool mTooLarge = false;
+  bool mCrossed = false;
+  std::array<char, CURL_ERROR_SIZE> mError{};
+};
+
+} // namespace
+
+struct HttpClient::State
+{
+  Loop& mLoop;
+  std::string mSourceIp;
+  CURLM* mMulti = nullptr;
+  TimerId mTimer = 0;
+  TransferId mNextId = 1;
+  std::unordered_map<TransferId, std::unique_ptr<Transfer>> mTransfers;
+  std::vector<CURL*> mPool;
+  std::uint64_t mConnectionsOpened = 0;
+
+  void Finish(CURL* aEasy, CURLcode aCode);
+  void ReadFinished();
+  void Release(Transfer& aTransfer);
+};
+
+namespace {
+
+std::string
+Trim(std::string_view aText)
+{
+  while (!aText.empty() && (aText.front() == ' ' || aText.front() == '\t')) {
+    aText.remove_prefix(1);
+  }
+  while (!aText.empty() && (aText.back() == '\r' || aText.back() == '\n' || aText.back() == ' ')) {
+    aText.remove_suffix(1);
+  }
+  return std::string(aText);
+}
+
+std::size_t
+OnBody(char* aData, std::size_t aSize, std::size_t aCount, void* aClosure)
+{
+  auto* const transfer = static_cast<Transfer*>(aClosure);
+  const std::size_t bytes = aSize * aCount;
+  if (!transfer->mRequest.mExpectedHeader.mName.empty() && !transfer->mExpectedSeen) {
+    transfer->mCrossed = true;
+    return 0;
+  }
+  if (transfer->mReply.mBody.size() + bytes > transfer->mRequest.mMaxReply) {
+    transfer->mTooLarge = true;
+    return 0;
+  }
+  transfer->mReply.mBody.append(aData, bytes);
+  return bytes;
+}
+
+std::size_t
+OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aClosure)
+{
+  auto* const transfer = static_cast<Transfer*>(aClosure);
+  const std::string_view line(aData, aSize * aCount);
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return line.size();
+  }
+  std::string name(line.substr(0, colon));
+  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aC) {
+    return static_cast<char>(std::tolower(aC));
+  });
+  std::string value = Trim(line.substr(colon + 1));
+  const HttpHeader& expected = transfer->mRequest.mExpectedHeader;
+  if (name == expected.mName) {
+    if (value != expected.mValue) {
+      transfer->mCrossed = true;
+      return 0;
+    }
+    transfer->mExpectedSeen = true;
+  }
+  transfer->mReply.mHeaders[std::move(name)] = std::move(value);
+  return line.size();
+}
+
+void
+RunSocketAction(HttpClient::State& aState, curl_socket_t aSocket, int aEvents)
+{
+  int running = 0;
+  curl_multi_socket_action(aState.mMulti, aSocket, aEvents, &running);
+  aState.ReadFinished();
+}
+
+int
+OnSocket(CURL* /*aEasy*/, curl_socket_t aSocket, int aWhat, void* aClosure, void* aKnown)
+{
+  auto* const state = static_cast<HttpClient::State*>(aClosure);
+  if (aWhat == CURL_POLL_REMOVE) {
+    state->mLoop.RemoveFd(aSocket);
+    return 0;
+  }
+  std::uint32_t events = 0;
+  if ((aWhat & CURL_POLL_IN) != 0) {
+    events |= EPOLLIN;
+  }
+  if ((aWhat & CURL_POLL_OUT) != 0) {
+    events |= EPOLLOUT;
+  }
+  if (aKnown != nullptr) {
+    state->mLoop.ModifyFd(aSocket, events);
+    return 0;
+  }
+  curl_multi_assign(state->mMulti, aSocket, state);
+  state->mLoop.AddFd(aSocket, events, [state, aSocket](std::uint32_t aReady) {
+    int action = 0;
+    if ((aReady & EPOLLIN) != 0) {
+      action |= CURL_CSELECT_IN;
+    }
+    if ((aReady & EPOLLOUT) != 0) {
+      action |= CURL_CSELECT_OUT;
+    }
+    if ((aReady & (EPOLLERR | EPOLLHUP)) != 0) {
+      action |= CURL_CSELECT_ERR;
+    }
+    RunSocketAction(*state, aSocket, action);
+  });
+  return 0;
+}
+
+int
+OnTimer(CURLM* /*aMulti*/, long aMillis, void* aClosure)
+{
+  auto* const state = static_cast<HttpClient::State*>(aClosure);
+  state->mLoop.CancelTimer(state->mTimer);
+  state->mTimer = 0;
+  if (aMillis >= 0) {
+    state->mTimer =
+      state->mLoop.AddTimer(SteadyNow() + std::chrono::milliseconds(aMillis), [state] {
+        state->mTimer = 0;
+        RunSocketAction(*state, CURL_SOCKET_TIMEOUT, 0);
+      });
+  }
+  return 0;
+}
+
+TransferEnd
+Classify(const Transfer& aTransfer, CURLcode aCode)
+{
+  if (aTransfer.mCrossed) {
+    return TransferEnd::Crossed;
+  }
+  if (aTransfer.mTooLarge) {
+    return TransferEnd::TooLarge;
+  }
+  if (aCode == CURLE_OK) {
+    const bool expected = !aTransfer.mRequest.mExpectedHeader.mName.empty();
+    return expected && !aTransfer.mExpectedSeen ? TransferEnd::Crossed : TransferEnd::Complete;
+  }
+  long requestBytes = 0;
+  curl_easy_getinfo(aTransfer.mEasy, CURLINFO_REQUEST_SIZE, &requestBytes);
+  curl_off_t connectTime = 0;
+  curl_easy_getinfo(aTransfer.mEasy, CURLINFO_PRETRANSFER_TIME_T, &connectTime);
+  if (aCode == CURLE_COULDNT_CONNECT || aCode == CURLE_INTERFACE_FAILED || connectTime == 0) {
+    return TransferEnd::NotConnected;
+  }
+  if (aCode == CURLE_OPERATION_TIMEDOUT) {
+    return requestBytes == 0 ? TransferEnd::NotSent : TransferEnd::TimedOut;
+  }
+  return requestBytes == 0 ? TransferEnd::NotSent : TransferEnd::Lost;
+}
+
+void
+ConfigureTransfer(HttpClient::State& aState, Transfer& aTransfer)
+{
+  CURL* const easy = aTransfer.mEasy;
+  const ClientRequest& request = aTransfer.mRequest;
+  const long millis =
+    std::max<long>(1, std::chrono::ceil<std::chrono::milliseconds>(request.mTimeout).count());
+  const std::string url =
+    fmt::format("http://{}{}", FormatSocketAddress(request.mAddress), request.mPath);
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, millis);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::max<long>(1, millis / kConnectTimeShare));
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.mFreshConnection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aTransfer.mError.data());
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
+  if (!aState.mSourceIp.empty()) {
+    curl_easy_setopt(easy, CURLOPT_INTERFACE, ("host!" + aState.mSourceIp).c_str());
+  }
+  if (request.mMethod != "GET") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.mMethod.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.mBody.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.mBody.data());
+  }
+  for (const HttpHeader& header : request.mHeaders) {
+    aTransfer.mHeaderList = curl_slist_append(
+      aTransfer.mHeaderList, fmt::format("{}: {}", header.mName, header.mValue).c_str());
+  }
+  // Without this header libcurl waits for a "100 Continue" before a large body.
+  aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, "Expect:");
+  aTransfer.mHeaderList =
+    curl_slist_append(aTransfer.mHeaderList, "Content-Type: application/json");
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aTransfer.mHeaderList);
+}
+
+} // namespace
+
+void
+HttpClient::State::Release(Transfer& aTransfer)
+{
+  curl_multi_remove_handle(mMulti, aTransfer.mEasy);
+  curl_slist_free_all(aTransfer.mHeaderList);
+  if (mPool.size() < kMaxPooledHandles) {
+    curl_easy_reset(aTransfer.mEasy);
+    mPool.push_back(aTransfer.mEasy);
+  } else {
+    curl_easy_cleanup(aTransfer.mEasy);
+  }
+}
+
+void
+HttpClient::State::Finish(CURL* aEasy, CURLcode aCode)
+{
+  char* closure = nullptr;
+  curl_easy_getinfo(aEasy, CURLINFO_PRIVATE, &closure);
+  const TransferId id = reinterpret_cast<Transfer*>(closure)->mId;
+  const auto node = mTransfers.extract(id);
+  Transfer& transfer = *node.mapped();
+  long status = 0;
+  long connects = 0;
+  curl_easy_getinfo(aEasy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo(aEasy, CURLINFO_NUM_CONNECTS, &connects);
+  mConnectionsOpened += static_cast<std::uint64_t>(connects);
+  transfer.mReply.mEnd = Classify(transfer, aCode);
+  transfer.mReply.mStatus = static_cast<int>(status);
+  transfer.mReply.mReusedConnection = connects == 0;
+  transfer.mReply.mMessage = transfer.mError.data();
+  Release(transfer);
+  transfer.mHandler(std::move(transfer.mReply));
+}
+
+void
+HttpClient::State::ReadFinished()
+{
+  int left = 0;
+  while (const CURLMsg* const message = curl_multi_info_read(mMulti, &left)) {
+    if (message->msg == CURLMSG_DONE) {
+      Finish(message->easy_handle, message->data.result);
+    }
+  }
+}
+
+std::string_view
+ClientReply::Header(std::string_view aName) const
+{
+  const auto found = mHeaders.find(aName);
+  return found == mHeaders.end() ? std::string_view() : std::string_view(found->second);
+}
+
+HttpClient::HttpClient(Loop& aLoop, std::string aSourceIp, long aMaxConnectionsPerServer)
+  : mState(new State{ aLoop, std::move(aSourceIp) })
+{
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  mState->mMulti = curl_multi_init();
+  curl_multi_setopt(mState->mMulti, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+  curl_multi_setopt(mState->mMulti, CURLMOPT_SOCKETDATA, mState.get());
+  curl_multi_setopt(mState->mMulti, CURLMOPT_TIMERFUNCTION, &OnTimer);
+  curl_multi_setopt(mState->mMulti, CURLMOPT_TIMERDATA, mState.get());
+  curl_multi_setopt(mState->mMulti, CURLMOPT_MAXCONNECTS, kIdleConnections);
+  curl_multi_setopt(mState->mMulti, CURLMOPT_MAX_HOST_CONNECTIONS, aMaxConnectionsPerServer);
+}
+
+HttpClient::~HttpClient()
+{
+  for (auto& [id, transfer] : mState->mTransfers) {
+    mState->Release(*transfer);
+  }
+  for (CURL* const easy : mState->mPool) {
+    curl_easy_cleanup(easy);
+  }
+  curl_multi_cleanup(mState->mMulti);
+  mState->mLoop.CancelTimer(mState->mTimer);
+}
+
+TransferId
+HttpClient::Send(ClientRequest aRequest, ClientHandler aHandler)
+{
+  auto transfer = std::make_unique<Transfer>();
+  const TransferId id = mState->mNextId++;
+  transfer->mId = id;
+  transfer->mRequest = std::move(aRequest);
+  transfer->mHandler = std::move(aHandler);
+  if (mState->mPool.empty()) {
+    transfer->mEasy = curl_easy_init();
+  } else {
+    transfer->mEasy = mState->mPool.back();
+    mState->mPool.pop_back();
+  }
+  ConfigureTransfer(*mState, *transfer);
+  CURL* const easy = transfer->mEasy;
+  mState->mTransfers.emplace(id, std::move(transfer));
+  curl_multi_add_handle(mState->mMulti, easy);
+  return id;
+}
+
+void
+HttpClient::Cancel(TransferId aTransfer)
+{
+  const auto node = mState->mTransfers.extract(aTransfer);
+  if (!node.empty()) {
+    mState->Release(*node.mapped());
+  }
+}
+
+std::size_t
+HttpClient::OpenTransfers() const
+{
+  return mState->mTransfers.size();
+}
+
+std::uint64_t
+HttpClient::ConnectionsOpened() const
+{
+  return mState->mConnectionsOpened;
+}
+
+} // namespace apricotyard
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,468 @@
+#include "http_server.h"
+
+#include "log.h"
+#include "settings.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <set>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace apricotyard {
+
+namespace {
+
+// Memory of one connection for request line and headers; larger headers are refused by the library.
+constexpr std::size_t kConnectionMemory = std::size_t{ 32 } * 1024;
+constexpr int kListenBacklog = 512;
+
+std::string
+LowerCase(std::string_view aText)
+{
+  std::string out(aText);
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char aC) {
+    return static_cast<char>(std::tolower(aC));
+  });
+  return out;
+}
+
+std::string
+PeerText(const sockaddr* aAddress)
+{
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  if (aAddress != nullptr && aAddress->sa_family == AF_INET) {
+    const auto* const v4 = reinterpret_cast<const sockaddr_in*>(aAddress);
+    inet_ntop(AF_INET, &v4->sin_addr, text.data(), text.size());
+  } else if (aAddress != nullptr && aAddress->sa_family == AF_INET6) {
+    const auto* const v6 = reinterpret_cast<const sockaddr_in6*>(aAddress);
+    inet_ntop(AF_INET6, &v6->sin6_addr, text.data(), text.size());
+  }
+  return text.data();
+}
+
+// Binds a listening socket to exactly aAddress. Returns -1 with errno set on failure.
+int
+OpenListener(const SocketAddress& aAddress)
+{
+  sockaddr_storage storage{};
+  socklen_t length = 0;
+  auto* const v4 = reinterpret_cast<sockaddr_in*>(&storage);
+  auto* const v6 = reinterpret_cast<sockaddr_in6*>(&storage);
+  if (inet_pton(AF_INET, aAddress.mIp.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(aAddress.mPort);
+    length = sizeof(sockaddr_in);
+  } else if (inet_pton(AF_INET6, aAddress.mIp.c_str(), &v6->sin6_addr) == 1) {
+    v6->sin6_family = AF_INET6;
+    v6->sin6_port = htons(aAddress.mPort);
+    length = sizeof(sockaddr_in6);
+  } else {
+    errno = EINVAL;
+    return -1;
+  }
+  const int fd = socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  const int on = 1;
+  if (fd >= 0) {
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  }
+  if (fd < 0 || bind(fd, reinterpret_cast<sockaddr*>(&storage), length) != 0 ||
+      listen(fd, kListenBacklog) != 0) {
+    const int error = errno;
+    if (fd >= 0) {
+      close(fd);
+    }
+    errno = error;
+    return -1;
+  }
+  return fd;
+}
+
+} // namespace
+
+struct HttpServer::State
+{
+  Loop& mLoop;
+  HttpHandler mHandler;
+  std::size_t mMaxBody;
+  MHD_Daemon* mDaemon = nullptr;
+  int mEpollFd = -1;
+  int mListenFd = -1;
+  bool mResumed = false;
+  std::size_t mOpen = 0;
+  // The library must not be stopped while connections are suspended.
+  std::set<std::shared_ptr<HttpResponder::Exchange>> mSuspended;
+};
+
+struct HttpResponder::Exchange
+{
+  std::shared_ptr<HttpServer::State> mServer;
+  MHD_Connection* mConnection = nullptr;
+  HttpRequest mRequest;
+  HttpResponse mResponse;
+  bool mTooLarge = false;
+  bool mDuplicateHeader = false;
+  bool mDispatched = false;
+  bool mAnswered = false;
+  bool mSuspended = false;
+  bool mClosed = false;
+};
+
+namespace {
+
+using Exchange = HttpResponder::Exchange;
+
+MHD_Result
+CollectHeader(void* aClosure, MHD_ValueKind, const char* aKey, const char* aValue)
+{
+  auto* const exchange = static_cast<Exchange*>(aClosure);
+  const bool added =
+    exchange->mRequest.mHeaders.emplace(LowerCase(aKey), aValue != nullptr ? aValue : "").second;
+  exchange->mDuplicateHeader |= !added;
+  return MHD_YES;
+}
+
+MHD_Result
+CollectArgument(void* aClosure, MHD_ValueKind, const char* aKey, const char* aValue)
+{
+  auto* const exchange = static_cast<Exchange*>(aClosure);
+  exchange->mRequest.mArguments.emplace(aKey, aValue != nullptr ? aValue : "");
+  return MHD_YES;
+}
+
+MHD_Result
+QueueResponse(MHD_Connection* aConnection, const HttpResponse& aResponse)
+{
+  MHD_Response* const response = MHD_create_response_from_buffer(
+    aResponse.mBody.size(), const_cast<char*>(aResponse.mBody.data()), MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header(response, "Content-Type", aResponse.mContentType.c_str());
+  for (const HttpHeader& header : aResponse.mHeaders) {
+    MHD_add_response_header(response, header.mName.c_str(), header.mValue.c_str());
+  }
+  const MHD_Result result =
+    MHD_queue_response(aConnection, static_cast<unsigned>(aResponse.mStatus), response);
+  MHD_destroy_response(response);
+  return result;
+}
+
+// A declared length over the limit is refused before the body is read.
+bool
+DeclaresTooLarge(const HttpServer::State& aServer, const HttpRequest& aRequest)
+{
+  const std::string_view length = aRequest.Header("content-length");
+  return !length.empty() &&
+         std::strtoull(std::string(length).c_str(), nullptr, 10) > aServer.mMaxBody;
+}
+
+std::shared_ptr<Exchange>*
+BeginExchange(HttpServer::State* aServer,
+              const std::shared_ptr<HttpServer::State>& aShared,
+              MHD_Connection* aConnection,
+              const char* aUrl,
+              const char* aMethod)
+{
+  auto* const exchange = new std::shared_ptr<Exchange>(std::make_shared<Exchange>());
+  Exchange& added = **exchange;
+  added.mServer = aShared;
+  added.mConnection = aConnection;
+  added.mRequest.mMethod = aMethod;
+  added.mRequest.mPath = aUrl;
+  MHD_get_connection_values(aConnection, MHD_HEADER_KIND, CollectHeader, &added);
+  MHD_get_connection_values(aConnection, MHD_GET_ARGUMENT_KIND, CollectArgument, &added);
+  const MHD_ConnectionInfo* const info =
+    MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  added.mRequest.mPeer = PeerText(info != nullptr ? info->client_addr : nullptr);
+  ++aServer->mOpen;
+  return exchange;
+}
+
+void
+RejectAndLog(Exchange& aExchange, Result aResult, std::string_view aMessage)
+{
+  LogEvent(Event::RequestRejected,
+           { { "peer", aExchange.mRequest.mPeer },
+             { "path", aExchange.mRequest.mPath },
+             { "result", Describe(aResult).mName } });
+  aExchange.mResponse = ErrorResponse(aResult, aMessage);
+  aExchange.mAnswered = true;
+}
+
+void
+Dispatch(const std::shared_ptr<Exchange>& aExchange)
+{
+  aExchange->mDispatched = true;
+  if (aExchange->mTooLarge) {
+    RejectAndLog(*aExchange, Result::BodyTooLarge, "the body exceeds the limit");
+  } else if (aExchange->mDuplicateHeader) {
+    RejectAndLog(*aExchange, Result::BadRequest, "a header is given twice");
+  } else {
+    aExchange->mServer->mHandler(std::move(aExchange->mRequest), HttpResponder(aExchange));
+  }
+}
+
+MHD_Result
+HandleAccess(void* aClosure,
+             MHD_Connection* aConnection,
+             const char* aUrl,
+             const char* aMethod,
+             const char* /*aVersion*/,
+             const char* aUpload,
+             std::size_t* aUploadSize,
+             void** aExchange)
+{
+  const auto& server = *static_cast<std::shared_ptr<HttpServer::State>*>(aClosure);
+  if (*aExchange == nullptr) {
+    auto* const begun = BeginExchange(server.get(), server, aConnection, aUrl, aMethod);
+    *aExchange = begun;
+    if (DeclaresTooLarge(*server, (*begun)->mRequest)) {
+      RejectAndLog(**begun, Result::BodyTooLarge, "the body exceeds the limit");
+      return QueueResponse(aConnection, (*begun)->mResponse);
+    }
+    return MHD_YES;
+  }
+  const std::shared_ptr<Exchange> exchange = *static_cast<std::shared_ptr<Exchange>*>(*aExchange);
+  if (*aUploadSize != 0) {
+    std::string& body = exchange->mRequest.mBody;
+    exchange->mTooLarge |= body.size() + *aUploadSize > server->mMaxBody;
+    if (!exchange->mTooLarge) {
+      body.append(aUpload, *aUploadSize);
+    }
+    *aUploadSize = 0;
+    return MHD_YES;
+  }
+  if (!exchange->mDispatched) {
+    Dispatch(exchange);
+  }
+  if (exchange->mAnswered) {
+    return QueueResponse(aConnection, exchange->mResponse);
+  }
+  exchange->mSuspended = true;
+  server->mSuspended.insert(exchange);
+  MHD_suspend_connection(aConnection);
+  return MHD_YES;
+}
+
+void
+HandleCompleted(void* aClosure,
+                MHD_Connection* /*aConnection*/,
+                void** aExchange,
+                MHD_RequestTerminationCode /*aCode*/)
+{
+  auto* const exchange = static_cast<std::shared_ptr<Exchange>*>(*aExchange);
+  if (exchange == nullptr) {
+    return;
+  }
+  (*exchange)->mClosed = true;
+  --(*static_cast<std::shared_ptr<HttpServer::State>*>(aClosure))->mOpen;
+  delete exchange;
+  *aExchange = nullptr;
+}
+
+} // namespace
+
+std::string_view
+HttpRequest::Header(std::string_view aName) const
+{
+  const auto found = mHeaders.find(aName);
+  return found == mHeaders.end() ? std::string_view() : std::string_view(found->second);
+}
+
+std::string_view
+HttpRequest::Argument(std::string_view aName) const
+{
+  const auto found = mArguments.find(aName);
+  return found == mArguments.end() ? std::string_view() : std::string_view(found->second);
+}
+
+namespace {
+
+void
+Answer(Exchange& aExchange, HttpResponse aResponse)
+{
+  if (aExchange.mAnswered) {
+    return;
+  }
+  aExchange.mAnswered = true;
+  aExchange.mResponse = std::move(aResponse);
+  if (aExchange.mSuspended && !aExchange.mClosed) {
+    aExchange.mSuspended = false;
+    aExchange.mServer->mResumed = true;
+    MHD_resume_connection(aExchange.mConnection);
+    std::erase_if(aExchange.mServer->mSuspended,
+                  [&aExchange](const auto& aKept) { return aKept.get() == &aExchange; });
+  }
+}
+
+} // namespace
+
+HttpResponder::HttpResponder(const std::shared_ptr<Exchange>& aExchange)
+  : mExchange(aExchange.get(), [keep = aExchange](Exchange*) {
+    Answer(*keep, ErrorResponse(Result::Internal, "the request was abandoned"));
+  })
+{
+}
+
+void
+HttpResponder::operator()(HttpResponse aResponse) const
+{
+  Answer(*mExchange, std::move(aResponse));
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> aState)
+  : mState(std::move(aState))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  mState->mLoop.RemoveFd(mState->mEpollFd);
+  const auto suspended = mState->mSuspended;
+  for (const auto& exchange : suspended) {
+    Answer(*exchange, ErrorResponse(Result::Stopping, "the process is stopping"));
+  }
+  MHD_run(mState->mDaemon);
+  MHD_stop_daemon(mState->mDaemon);
+  if (mState->mListenFd >= 0) {
+    close(mState->mListenFd);
+  }
+  mState->mDaemon = nullptr;
+}
+
+void
+HttpServer::StopListening()
+{
+  const MHD_socket fd = MHD_quiesce_daemon(mState->mDaemon);
+  if (fd != MHD_INVALID_SOCKET) {
+    close(fd);
+    mState->mListenFd = -1;
+  }
+}
+
+std::size_t
+HttpServer::OpenRequests() const
+{
+  return mState->mOpen;
+}
+
+HttpServer::Builder::Builder(Loop& aLoop, SocketAddress aAddress)
+  : mLoop(aLoop)
+  , mAddress(std::move(aAddress))
+{
+}
+
+HttpServer::Builder&
+HttpServer::Builder::OnRequest(HttpHandler aHandler)
+{
+  mHandler = std::move(aHandler);
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::MaxBody(std::size_t aBytes)
+{
+  mMaxBody = aBytes;
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::MaxConnections(unsigned aCount)
+{
+  mMaxConnections = aCount;
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::IdleTimeout(std::chrono::seconds aTimeout)
+{
+  mIdleTimeout = aTimeout;
+  return *this;
+}
+
+Expected<std::unique_ptr<HttpServer>>
+HttpServer::Builder::Start()
+{
+  const int listener = OpenListener(mAddress);
+  if (listener < 0) {
+    return Fail(
+      Result::Internal,
+      fmt::format("cannot listen on {}: {}", FormatSocketAddress(mAddress), std::strerror(errno)));
+  }
+  auto state = std::make_shared<State>(State{ mLoop, std::move(mHandler), mMaxBody });
+  state->mListenFd = listener;
+  // The library keeps a pointer to this shared pointer; the server owns it through the deleter of
+  // the prepare handler below, which lives as long as the loop.
+  auto closure = std::make_shared<std::shared_ptr<State>>(state);
+  const unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+  const unsigned timeout = static_cast<unsigned>(mIdleTimeout.count());
+  state->mDaemon = MHD_start_daemon(flags,
+                                    0,
+                                    nullptr,
+                                    nullptr,
+                                    &HandleAccess,
+                                    closure.get(),
+                                    MHD_OPTION_LISTEN_SOCKET,
+                                    listener,
+                                    MHD_OPTION_NOTIFY_COMPLETED,
+                                    &HandleCompleted,
+                                    closure.get(),
+                                    MHD_OPTION_CONNECTION_LIMIT,
+                                    mMaxConnections,
+                                    MHD_OPTION_CONNECTION_TIMEOUT,
+                                    timeout,
+                                    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                                    kConnectionMemory,
+                                    MHD_OPTION_END);
+  if (state->mDaemon == nullptr) {
+    close(listener);
+    return Fail(Result::Internal, "the HTTP server cannot start");
+  }
+  state->mEpollFd = MHD_get_daemon_info(state->mDaemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  mLoop.AddFd(state->mEpollFd, EPOLLIN, [state](std::uint32_t) { MHD_run(state->mDaemon); });
+  mLoop.AddPrepare([state, closure]() -> Duration {
+    if (state->mDaemon == nullptr) {
+      return std::chrono::hours(1);
+    }
+    if (state->mResumed) {
+      state->mResumed = false;
+      MHD_run(state->mDaemon);
+    }
+    MHD_UNSIGNED_LONG_LONG millis = 0;
+    if (MHD_get_timeout(state->mDaemon, &millis) != MHD_YES) {
+      return std::chrono::hours(1);
+    }
+    if (millis == 0) {
+      MHD_run(state->mDaemon);
+    }
+    return std::chrono::milliseconds(millis);
+  });
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+HttpResponse
+ErrorResponse(Result aResult, std::string_view aMessage)
+{
+  const ResultInfo& info = Describe(aResult);
+  HttpResponse response;
+  response.mStatus = info.mHttpStatus;
+  response.mBody = fmt::format(R"({{"result":{{"code":{},"name":"{}","message":{}}}}})",
+                               info.mNumber,
+                               info.mName,
+                               JsonQuote(aMessage));
+  return response;
+}
+
+std::string
+JsonQuote(std::string_view aText)
+{
+  return nlohmann::json(aText).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace apricotyard
--- /dev/null
+++ b/tests/test_http.cpp
@@ -0,0 +1,170 @@
+// Guards against hostile or broken HTTP peers: the process stays up and answers with a result code.
+#include "codec.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "test_address.h"
+
+#include <arpa/inet.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace apricotyard;
+
+namespace {
+
+const std::string kIp = TestIp(1);
+constexpr std::uint16_t kPort = 7900;
+constexpr std::size_t kMaxBody = 1000;
+
+// A server that echoes its body, and a client, in one loop.
+struct EchoFixture
+{
+  Loop mLoop;
+  HttpClient mClient{ mLoop, "", 2 };
+  std::unique_ptr<HttpServer> mServer;
+
+  EchoFixture()
+  {
+    auto server = HttpServer::Builder(mLoop, { kIp, kPort })
+                    .MaxBody(kMaxBody)
+                    .OnRequest([](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+                      if (aRequest.mPath != "/abandon") {
+                        aRespond({ 200, aRequest.mBody, "text/plain", { { "x-echo", "yes" } } });
+                      }
+                    })
+                    .Start();
+    CPPUNIT_ASSERT_MESSAGE(server ? "" : server.error().mMessage, server.has_value());
+    mServer = *std::move(server);
+  }
+
+  ClientReply Call(ClientRequest aRequest)
+  {
+    Loop& loop = mLoop;
+    ClientReply result;
+    aRequest.mAddress = { kIp, kPort };
+    mClient.Send(std::move(aRequest), [&](ClientReply aReply) {
+      result = std::move(aReply);
+      loop.Stop();
+    });
+    loop.Run();
+    return result;
+  }
+};
+
+// Sends raw bytes and returns the first line of the reply.
+std::string
+SendRaw(Loop& aLoop, const std::string& aBytes)
+{
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kPort);
+  inet_pton(AF_INET, kIp.c_str(), &address.sin_addr);
+  // The socket does not block, so the result is always "in progress".
+  (void)connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  std::string reply;
+  bool sent = false;
+  aLoop.AddFd(fd, 0x001 | 0x004, [&](std::uint32_t) {
+    if (!sent) {
+      sent = true;
+      CPPUNIT_ASSERT(write(fd, aBytes.data(), aBytes.size()) > 0);
+      aLoop.ModifyFd(fd, 0x001);
+      return;
+    }
+    char buffer[512];
+    const ssize_t count = read(fd, buffer, sizeof(buffer));
+    if (count > 0) {
+      reply.append(buffer, static_cast<std::size_t>(count));
+    }
+    aLoop.Stop();
+  });
+  aLoop.Run();
+  aLoop.RemoveFd(fd);
+  close(fd);
+  return reply.substr(0, reply.find("\r\n"));
+}
+
+} // namespace
+
+class HttpTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HttpTest);
+  CPPUNIT_TEST(EchoesBody);
+  CPPUNIT_TEST(RefusesOversizedBody);
+  CPPUNIT_TEST(AnswersAbandonedRequest);
+  CPPUNIT_TEST(ClosesConnectionOfCrossedReply);
+  CPPUNIT_TEST(ReportsRefusedConnection);
+  CPPUNIT_TEST(RefusesDuplicateHeader);
+  CPPUNIT_TEST(RefusesMalformedMessages);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void EchoesBody()
+  {
+    EchoFixture fixture;
+    ClientRequest request;
+    request.mBody = "hello";
+    request.mExpectedHeader = { "x-echo", "yes" };
+    const ClientReply reply = fixture.Call(request);
+    CPPUNIT_ASSERT(reply.mEnd == TransferEnd::Complete);
+    CPPUNIT_ASSERT_EQUAL(std::string("hello"), reply.mBody);
+  }
+
+  void RefusesOversizedBody()
+  {
+    EchoFixture fixture;
+    ClientRequest request;
+    request.mBody = std::string(kMaxBody + 1, 'x');
+    const ClientReply reply = fixture.Call(request);
+    CPPUNIT_ASSERT_EQUAL(413, reply.mStatus);
+    CPPUNIT_ASSERT(reply.mBody.find("BodyTooLarge") != std::string::npos);
+  }
+
+  void AnswersAbandonedRequest()
+  {
+    EchoFixture fixture;
+    ClientRequest request;
+    request.mPath = "/abandon";
+    CPPUNIT_ASSERT_EQUAL(500, fixture.Call(request).mStatus);
+  }
+
+  void ClosesConnectionOfCrossedReply()
+  {
+    EchoFixture fixture;
+    ClientRequest request;
+    request.mExpectedHeader = { "x-echo", "no" };
+    CPPUNIT_ASSERT(fixture.Call(request).mEnd == TransferEnd::Crossed);
+  }
+
+  void ReportsRefusedConnection()
+  {
+    EchoFixture fixture;
+    fixture.mServer.reset();
+    CPPUNIT_ASSERT(fixture.Call({}).mEnd == TransferEnd::NotConnected);
+  }
+
+  void RefusesDuplicateHeader()
+  {
+    EchoFixture fixture;
+    const std::string line =
+      SendRaw(fixture.mLoop, "GET / HTTP/1.1\r\nHost: a\r\nX-A: 1\r\nX-A: 2\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 400 Bad Request"), line);
+  }
+
+  void RefusesMalformedMessages()
+  {
+    for (const char* const body :
+         { "", "[]", "{", "{\"collection\":1}", "{\"collection\":\"a\"}" }) {
+      CPPUNIT_ASSERT_MESSAGE(body, !DecodeQuery(body).has_value());
+    }
+    const auto unknown = DecodeQuery(R"({"collection":"a","query":"q","colour":1})");
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown field 'colour'"), unknown.error().mMessage);
+    const auto miscounted = DecodeSubReply(
+      R"({"subrequest":1,"service":"a","map":1,"shard":0,"version":1,"count":2,"items":[1]})");
+    CPPUNIT_ASSERT(!miscounted.has_value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
--- /dev/null
+++ b/tests/test_settings.cpp
@@ -0,0 +1,104 @@
+// Guards against settings mistakes that go unreported or stop the report of further ones.
+#include "config.h"
+#include "entry_settings.h"
+#include "settings.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace apricotyard;
+
+namespace {
+
+std::vector<SettingsProblem>
+CheckEntry(std::string_view aText)
+{
+  SettingsReader reader("entry.toml", aText);
+  EntrySettings settings;
+  ReadEntrySettings(reader, settings);
+  return reader.Finish();
+}
+
+} // namespace
+
+class SettingsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SettingsTest);
+  CPPUNIT_TEST(AcceptsValidSettings);
+  CPPUNIT_TEST(ReportsFiveDifferentMistakes);
+  CPPUNIT_TEST(ReportsSyntaxError);
+  CPPUNIT_TEST(ParsesDurations);
+  CPPUNIT_TEST(RefusesHostNamesAsAddresses);
+  CPPUNIT_TEST(EffectiveSettingsReadBack);
+  CPPUNIT_TEST(ConfigReportsDanglingReferences);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void AcceptsValidSettings()
+  {
+    const auto problems = CheckEntry("host = 'e1'\ndata_centre = 'bolu'\n"
+                                     "address = '127.0.0.1:7200'\ncontrol = ['127.0.1.1:7101']\n");
+    CPPUNIT_ASSERT(problems.empty());
+  }
+
+  void ReportsFiveDifferentMistakes()
+  {
+    // An unknown key, a wrong type, a value out of range, a bad address and a missing key.
+    const auto problems = CheckEntry("host = 7\naddress = 'localhost:1'\nmax_connections = 1\n"
+                                     "control = ['127.0.1.1:7101']\ncolour = 'red'\n");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 5 }, problems.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("data_centre"), problems[0].mKey);
+    CPPUNIT_ASSERT_EQUAL(std::string("host"), problems[1].mKey);
+    CPPUNIT_ASSERT_EQUAL(1U, problems[1].mLine);
+    CPPUNIT_ASSERT_EQUAL(std::string("address"), problems[2].mKey);
+    CPPUNIT_ASSERT_EQUAL(std::string("max_connections"), problems[3].mKey);
+    CPPUNIT_ASSERT(problems[3].mMessage.find("from 10 to 20000") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::string("colour"), problems[4].mKey);
+    CPPUNIT_ASSERT_EQUAL(5U, problems[4].mLine);
+  }
+
+  void ReportsSyntaxError()
+  {
+    const auto problems = CheckEntry("host = \n");
+    CPPUNIT_ASSERT(!problems.empty());
+    CPPUNIT_ASSERT(FormatProblem(problems.back()).starts_with("entry.toml:1: syntax error"));
+  }
+
+  void ParsesDurations()
+  {
+    CPPUNIT_ASSERT(ParseDuration("250ms").value() == std::chrono::milliseconds(250));
+    CPPUNIT_ASSERT(ParseDuration("2m").value() == std::chrono::minutes(2));
+    for (const char* const text : { "", "5", "-1s", "1.5s", "9999999999999h", "3 s" }) {
+      CPPUNIT_ASSERT_MESSAGE(text, !ParseDuration(text).has_value());
+    }
+  }
+
+  void RefusesHostNamesAsAddresses()
+  {
+    CPPUNIT_ASSERT(ParseSocketAddress("[::1]:80").value().mIp == "::1");
+    for (const char* const text : { "localhost:80", "127.0.0.1", "127.0.0.1:0", "1.2.3.4:70000" }) {
+      CPPUNIT_ASSERT_MESSAGE(text, !ParseSocketAddress(text).has_value());
+    }
+  }
+
+  void EffectiveSettingsReadBack()
+  {
+    SettingsReader reader("a",
+                          "host = 'e1'\ndata_centre = 'bolu'\naddress = '127.0.0.1:7200'\n"
+                          "control = ['127.0.1.1:7101']\n");
+    EntrySettings settings;
+    ReadEntrySettings(reader, settings);
+    CPPUNIT_ASSERT(CheckEntry(reader.Effective()).empty());
+  }
+
+  void ConfigReportsDanglingReferences()
+  {
+    const ConfigResult result = ParseConfig("c",
+                                            "[collection.desk]\nservices = ['a', 'a']\n"
+                                            "default_class = 'nope'\n[caller.x]\n"
+                                            "collections = ['gone']\nclasses = []\n");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, result.mProblems.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
