Check which collections and classes a caller may use

Cause: the entry host took the caller's name from a header without any proof, so any program could reach any collection.

Conclusion: callers without a key stay possible where the configuration has a caller with an empty key, as in the quick start.

--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -1,5 +1,6 @@
 #include "entry_server.h"
 
+#include "caller_access.h"
 #include "codec.h"
 #include "control_client.h"
 #include "directory.h"
@@ -210,7 +211,18 @@
   request->mRequestId = given.empty()
                           ? fmt::format("{}-{}-{}", mSettings.mHost, mIncarnation, request->mId)
                           : std::string(given.substr(0, 128));
-  request->mCaller = aRequest.Header("x-caller");
+  if (mEngine.mConfig != nullptr) {
+    const auto caller =
+      IdentifyCaller(*mEngine.mConfig, BearerKey(aRequest.Header("authorization")));
+    const auto access = caller.and_then([&](const CallerPolicy* aCaller) {
+      return CheckAccess(*mEngine.mConfig, *aCaller, request->mCollection, request->mClass);
+    });
+    if (!access) {
+      aRespond(ErrorResponse(access.error().mResult, access.error().mMessage));
+      return;
+    }
+    request->mCaller = (*caller)->mName;
+  }
   mPending.emplace(request->mId, PendingQuery{ request->mRequestId, aRespond });
   Actions actions;
   SubmitQuery(mEngine, *std::move(request), SteadyNow(), mRng, actions);
