--- a/src/snapshot.cpp
+++ b/src/snapshot.cpp
@@ -1,84 +1,147 @@
 #include "snapshot.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace apricotyard {
 
 namespace {
 
+// The shards of one partition map of a service.
+using MapShards = std::vector<ShardState*>;
+
+// Complete maps of the service, newest first.
+std::vector<MapShards>
+CompleteMaps(const Engine& aEngine, const std::string& aService)
+{
+  std::map<std::uint32_t, MapShards, std::greater<>> maps;
+  auto entry = aEngine.mShards.lower_bound(ShardKey{ aService, 0, 0 });
+  for (; entry != aEngine.mShards.end() && entry->first.mService == aService; ++entry) {
+    if (!entry->second->mReplicas.empty()) {
+      maps[entry->first.mMap].push_back(entry->second.get());
+    }
+  }
+  std::vector<MapShards> complete;
+  for (auto& [map, shards] : maps) {
+    std::vector<KeyRange> ranges;
+    for (const ShardState* const shard : shards) {
+      ranges.push_back(shard->mRange);
+    }
+    if (CoversKeySpace(std::move(ranges))) {
+      complete.push_back(std::move(shards));
+    }
+  }
+  return complete;
+}
+
+bool
+IsOffered(const ShardState& aShard, IndexVersion aVersion)
+{
+  return std::any_of(
+    aShard.mReplicas.begin(), aShard.mReplicas.end(), [aVersion](const Replica* aReplica) {
+      return Offers(*aReplica, aVersion);
+    });
+}
+
 bool
-TakesNewWork(const UpstreamInfo& aInfo)
+IsReady(const ShardState& aShard)
 {
-  return aInfo.mState == UpstreamState::Ready;
+  return std::any_of(aShard.mReplicas.begin(), aShard.mReplicas.end(), [](const Replica* aReplica) {
+    return aReplica->mInfo.mState == UpstreamState::Ready;
+  });
 }
 
-// The shards of each announced partition map of one service.
-using MapShards = std::map<std::uint32_t, std::map<std::uint32_t, KeyRange>>;
+std::size_t
+CountOffered(const MapShards& aShards, IndexVersion aVersion)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aShards.begin(), aShards.end(), [aVersion](const ShardState* aShard) {
+      return IsOffered(*aShard, aVersion);
+    }));
+}
 
-MapShards
-CollectMaps(const Engine& aEngine, const std::string& aService)
+// A map that is announced but not yet ready must not replace one that serves.
+const MapShards&
+NewestReady(const std::vector<MapShards>& aMaps)
 {
-  MapShards maps;
-  const auto first = aEngine.mShardReplicas.lower_bound(ShardKey{ aService, 0, 0 });
-  for (auto entry = first; entry != aEngine.mShardReplicas.end(); ++entry) {
-    const ShardKey& key = entry->first;
-    if (key.mService != aService) {
-      break;
-    }
-    for (const std::string& id : entry->second) {
-      const UpstreamInfo& info = aEngine.mReplicas.at(id).mInfo;
-      if (info.mState != UpstreamState::Left) {
-        maps[key.mMap].emplace(key.mShard, info.mRange);
+  const auto ready = std::find_if(aMaps.begin(), aMaps.end(), [](const MapShards& aShards) {
+    return std::all_of(
+      aShards.begin(), aShards.end(), [](const ShardState* aShard) { return IsReady(*aShard); });
+  });
+  return ready == aMaps.end() ? aMaps.front() : *ready;
+}
+
+std::set<IndexVersion, std::greater<>>
+AllVersions(const std::vector<MapShards>& aMaps)
+{
+  std::set<IndexVersion, std::greater<>> versions;
+  for (const MapShards& shards : aMaps) {
+    for (const ShardState* const shard : shards) {
+      for (const Replica* const replica : shard->mReplicas) {
+        versions.insert(replica->mInfo.mVersions.begin(), replica->mInfo.mVersions.end());
       }
     }
   }
-  return maps;
+  return versions;
 }
 
-bool
-IsComplete(const std::map<std::uint32_t, KeyRange>& aShards)
+struct Pick
 {
-  std::vector<KeyRange> ranges;
-  for (const auto& [shard, range] : aShards) {
-    ranges.push_back(range);
+  IndexVersion mVersion = 0;
+  std::size_t mOffered = 0;
+  std::vector<const MapShards*> mMaps;
+
+  std::size_t Expected() const
+  {
+    std::size_t expected = 0;
+    for (const MapShards* const shards : mMaps) {
+      expected += shards->size();
+    }
+    return expected;
   }
-  return CoversKeySpace(std::move(ranges));
-}
+};
 
-void
-ChooseMap(const Engine& aEngine, const std::string& aService, SnapshotChoice& aChoice)
+// The version with the largest coverage of the given maps, the newest among equals.
+Pick
+PickVersion(const std::vector<const MapShards*>& aMaps,
+            const std::set<IndexVersion, std::greater<>>& aVersions)
 {
-  const MapShards maps = CollectMaps(aEngine, aService);
-  for (auto map = maps.rbegin(); map != maps.rend(); ++map) {
-    if (!IsComplete(map->second)) {
-      continue;
+  Pick best{ 0, 0, aMaps };
+  for (const IndexVersion version : aVersions) {
+    std::size_t offered = 0;
+    for (const MapShards* const shards : aMaps) {
+      offered += CountOffered(*shards, version);
     }
-    aChoice.mSnapshot.mMaps[aService] = map->first;
-    for (const auto& [shard, range] : map->second) {
-      aChoice.mExpected.push_back({ aService, map->first, shard });
+    if (offered > best.mOffered) {
+      best.mVersion = version;
+      best.mOffered = offered;
     }
-    return;
   }
-  const ShardKey unknown{ aService, 0, 0 };
-  aChoice.mExpected.push_back(unknown);
-  aChoice.mMissing.push_back({ unknown, MissingReason::NotAnnounced });
+  return best;
 }
 
-std::set<IndexVersion>
-VersionsOf(const Engine& aEngine, const ShardKey& aShard)
+// The newest version that some complete map of every service covers.
+std::optional<Pick>
+PickOlderMaps(const std::vector<std::vector<MapShards>>& aServices,
+              const std::set<IndexVersion, std::greater<>>& aVersions)
 {
-  std::set<IndexVersion> versions;
-  const auto found = aEngine.mShardReplicas.find(aShard);
-  if (found == aEngine.mShardReplicas.end()) {
-    return versions;
-  }
-  for (const std::string& id : found->second) {
-    const UpstreamInfo& info = aEngine.mReplicas.at(id).mInfo;
-    if (TakesNewWork(info)) {
-      versions.insert(info.mVersions.begin(), info.mVersions.end());
+  for (const IndexVersion version : aVersions) {
+    Pick pick{ version, 0, {} };
+    for (const std::vector<MapShards>& maps : aServices) {
+      const auto covered =
+        std::find_if(maps.begin(), maps.end(), [version](const MapShards& aShards) {
+          return CountOffered(aShards, version) == aShards.size();
+        });
+      if (covered == maps.end()) {
+        break;
+      }
+      pick.mMaps.push_back(&*covered);
+    }
+    if (pick.mMaps.size() == aServices.size()) {
+      return pick;
     }
   }
-  return versions;
+  return std::nullopt;
 }
 
 } // namespace
@@ -99,27 +162,44 @@
   return covered == kKeySpace;
 }
 
-SnapshotChoice
+bool
+Offers(const Replica& aReplica, IndexVersion aVersion)
+{
+  const std::vector<IndexVersion>& versions = aReplica.mInfo.mVersions;
+  return aReplica.mInfo.mState == UpstreamState::Ready &&
+         std::find(versions.begin(), versions.end(), aVersion) != versions.end() &&
+         !aReplica.mGone.contains(aVersion);
+}
+
+SnapshotPlan
 ChooseSnapshot(const Engine& aEngine, const CollectionPolicy& aCollection)
 {
-  SnapshotChoice choice;
+  SnapshotPlan plan;
+  std::vector<std::vector<MapShards>> services;
+  std::vector<const MapShards*> newest;
+  std::set<IndexVersion, std::greater<>> versions;
   for (const std::string& service : aCollection.mServices) {
-    ChooseMap(aEngine, service, choice);
-  }
-  std::map<IndexVersion, std::uint32_t> coverage;
-  for (const ShardKey& shard : choice.mExpected) {
-    for (const IndexVersion version : VersionsOf(aEngine, shard)) {
-      ++coverage[version];
+    std::vector<MapShards> maps = CompleteMaps(aEngine, service);
+    if (maps.empty()) {
+      plan.mNotAnnounced.push_back({ { service, 0, 0 }, MissingReason::NotAnnounced });
+      continue;
     }
+    versions.merge(AllVersions(maps));
+    services.push_back(std::move(maps));
   }
-  std::uint32_t best = 0;
-  for (const auto& [version, shards] : coverage) {
-    if (shards >= best) {
-      best = shards;
-      choice.mSnapshot.mVersion = version;
-    }
+  for (const std::vector<MapShards>& maps : services) {
+    newest.push_back(&NewestReady(maps));
+  }
+  Pick pick = PickVersion(newest, versions);
+  if (pick.mOffered < pick.Expected()) {
+    pick = PickOlderMaps(services, versions).value_or(std::move(pick));
+  }
+  plan.mSnapshot.mVersion = pick.mVersion;
+  for (const MapShards* const shards : pick.mMaps) {
+    plan.mSnapshot.mMaps[shards->front()->mKey.mService] = shards->front()->mKey.mMap;
+    plan.mShards.insert(plan.mShards.end(), shards->begin(), shards->end());
   }
-  return choice;
+  return plan;
 }
 
 } // namespace apricotyard
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -6,21 +6,18 @@
 
 namespace apricotyard {
 
-struct SnapshotChoice
-{
-  Snapshot mSnapshot;
-  // Every shard that the answer must account for. A service without a complete partition map
-  // counts as one shard with map 0 and is also listed in mMissing.
-  std::vector<ShardKey> mExpected;
-  std::vector<MissingShard> mMissing;
-};
-
-// Pins the newest complete partition map of each service, and the newest index version that covers
-// the most shards of these maps. Only upstreams in state Ready or Draining count; the latter serve
-// running work but get no new sub-requests. Pure.
-SnapshotChoice
+// The snapshot that a query of the collection gets now: by section 5.1 the newest index version that
+// every shard of the newest complete maps offers on a ready replica, else the version with the
+// largest coverage. If the newest maps cannot be covered, for example because a repartition and a
+// new index are half announced, older complete maps are tried before coverage is given up. A
+// service without a complete map is listed as one missing shard with map 0. Pure.
+SnapshotPlan
 ChooseSnapshot(const Engine& aEngine, const CollectionPolicy& aCollection);
 
+// True if the replica takes new work at this version.
+bool
+Offers(const Replica& aReplica, IndexVersion aVersion);
+
 // True if the ranges cover the key space without gap or overlap. The order does not matter.
 bool
 CoversKeySpace(std::vector<KeyRange> aRanges);
--- /dev/null
+++ b/src/upstreams.cpp
@@ -0,0 +1,260 @@
+#include "upstreams.h"
+
+#include "snapshot.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace apricotyard {
+
+namespace {
+
+// How often each range is announced for a shard. Replicas that contradict the majority are not
+// used, because their answers would cover other keys.
+using RangeVotes = std::map<ShardKey, std::map<std::pair<std::uint64_t, std::uint64_t>, int>>;
+
+ShardKey
+KeyOf(const UpstreamInfo& aInfo)
+{
+  return { aInfo.mService, aInfo.mMap, aInfo.mShard };
+}
+
+RangeVotes
+CountRanges(const std::vector<UpstreamInfo>& aUpstreams)
+{
+  RangeVotes votes;
+  for (const UpstreamInfo& info : aUpstreams) {
+    if (info.mState != UpstreamState::Left) {
+      ++votes[KeyOf(info)][{ info.mRange.mLow, info.mRange.mHigh }];
+    }
+  }
+  return votes;
+}
+
+KeyRange
+MajorityRange(const std::map<std::pair<std::uint64_t, std::uint64_t>, int>& aVotes)
+{
+  const auto most =
+    std::max_element(aVotes.begin(), aVotes.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second < aRight.second;
+    });
+  return { most->first.first, most->first.second };
+}
+
+ShardState&
+FindShard(Engine& aEngine, const ShardKey& aKey, const KeyRange& aRange)
+{
+  std::unique_ptr<ShardState>& shard = aEngine.mShards[aKey];
+  if (shard == nullptr) {
+    shard = std::make_unique<ShardState>();
+    shard->mKey = aKey;
+    shard->mNumber = aEngine.mNextShardNumber++;
+    aEngine.mShardNumbers[shard->mNumber] = shard.get();
+    std::unique_ptr<ServiceState>& service = aEngine.mServices[aKey.mService];
+    if (service == nullptr) {
+      service = std::make_unique<ServiceState>();
+    }
+    shard->mService = service.get();
+  }
+  shard->mRange = aRange;
+  return *shard;
+}
+
+// Applies one announcement. A new incarnation forgets what was learnt about the old process.
+void
+UpdateReplica(Engine& aEngine, Replica& aReplica, const UpstreamInfo& aInfo, bool aShardServed)
+{
+  const UpstreamInfo& old = aReplica.mInfo;
+  const bool isNew = aReplica.mSerial == 0;
+  if (isNew) {
+    aReplica.mSerial = aEngine.mNextSerial++;
+    aReplica.mStartsCold = aShardServed;
+  } else if (old.mIncarnation != aInfo.mIncarnation) {
+    aEngine.mRestartedUpstreams.push_back(aInfo.mId);
+    aReplica.mLatency = {};
+    aReplica.mHealth = {};
+    aReplica.mStartsCold = true;
+  } else if (old.mState == UpstreamState::Starting && aInfo.mState == UpstreamState::Ready) {
+    aReplica.mStartsCold = true;
+  }
+  if (old.mIncarnation != aInfo.mIncarnation || old.mSequence != aInfo.mSequence ||
+      old.mVersions != aInfo.mVersions) {
+    aReplica.mGone.clear();
+  }
+  aReplica.mInfo = aInfo;
+}
+
+std::uint32_t
+ShareOf(const Engine& aEngine, const UpstreamInfo& aInfo)
+{
+  if (!aEngine.mShares) {
+    return aInfo.mSlots;
+  }
+  const auto found = aEngine.mShares->find(aInfo.mId);
+  return found == aEngine.mShares->end() ? 0 : std::min(found->second, aInfo.mSlots);
+}
+
+void
+RemoveUnlisted(Engine& aEngine, const std::set<std::string_view>& aListed)
+{
+  absl::erase_if(aEngine.mReplicas, [&](auto& aEntry) {
+    if (aListed.contains(aEntry.first)) {
+      return false;
+    }
+    aEntry.second->mShard = nullptr;
+    if (aEntry.second->mInFlight > 0) {
+      aEngine.mRemoved.push_back(std::move(aEntry.second));
+    }
+    return true;
+  });
+  std::erase_if(aEngine.mRemoved,
+                [](const auto& aReplica) { return aReplica->mInFlight == 0; });
+}
+
+void
+RemoveUnusedShards(Engine& aEngine)
+{
+  std::erase_if(aEngine.mShards, [&aEngine](const auto& aEntry) {
+    const ShardState& shard = *aEntry.second;
+    if (!shard.mReplicas.empty() || shard.mUsers > 0) {
+      return false;
+    }
+    aEngine.mShardNumbers.erase(shard.mNumber);
+    return true;
+  });
+}
+
+// Recounts slots and full shards, and considers everything that waits again.
+void
+RecountShards(Engine& aEngine)
+{
+  for (auto& [name, service] : aEngine.mServices) {
+    service->mFullShards = 0;
+  }
+  for (auto& [key, shard] : aEngine.mShards) {
+    shard->mFull = false;
+    shard->mInFlight = 0;
+    for (Replica* const replica : shard->mReplicas) {
+      replica->mShare = ShareOf(aEngine, replica->mInfo);
+      shard->mInFlight += replica->mInFlight;
+    }
+    UpdateSlots(aEngine, *shard);
+    QueuePump(aEngine, *shard);
+  }
+  aEngine.mPlans.clear();
+  aEngine.mAdmissionDue = true;
+  aEngine.mUpstreamsChanged = true;
+}
+
+} // namespace
+
+void
+UpdateFull(Engine& aEngine, ShardState& aShard)
+{
+  const auto waiting = static_cast<std::uint32_t>(aShard.mWaiting.size());
+  const auto extra = static_cast<std::uint32_t>(
+    std::ceil(static_cast<double>(aShard.mSlots) * aEngine.mTuning.mOvercommit));
+  const bool full = aShard.mSlots > 0 && aShard.mFailuresInARow < kFailuresOfDeadShard &&
+                    aShard.mInFlight + waiting >= aShard.mSlots + extra;
+  if (full == aShard.mFull) {
+    return;
+  }
+  aShard.mFull = full;
+  if (full) {
+    ++aShard.mService->mFullShards;
+  } else {
+    --aShard.mService->mFullShards;
+    aEngine.mAdmissionDue = true;
+  }
+}
+
+void
+UpdateSlots(Engine& aEngine, ShardState& aShard)
+{
+  aShard.mSlots = 0;
+  for (const Replica* const replica : aShard.mReplicas) {
+    if (replica->mInfo.mState == UpstreamState::Ready) {
+      aShard.mSlots += replica->mShare;
+    }
+  }
+  UpdateFull(aEngine, aShard);
+}
+
+void
+QueuePump(Engine& aEngine, ShardState& aShard)
+{
+  if (!aShard.mPumpQueued) {
+    aShard.mPumpQueued = true;
+    aEngine.mToPump.push_back(&aShard);
+  }
+}
+
+std::shared_ptr<const SnapshotPlan>
+PlanFor(Engine& aEngine, const CollectionPolicy& aCollection)
+{
+  std::shared_ptr<const SnapshotPlan>& plan = aEngine.mPlans[aCollection.mName];
+  if (plan == nullptr) {
+    plan = std::make_shared<const SnapshotPlan>(ChooseSnapshot(aEngine, aCollection));
+  }
+  return plan;
+}
+
+bool
+HasRoom(const Engine& aEngine, const CollectionPolicy& aCollection)
+{
+  return std::all_of(aCollection.mServices.begin(),
+                     aCollection.mServices.end(),
+                     [&aEngine](const std::string& aName) {
+                       const auto service = aEngine.mServices.find(aName);
+                       return service == aEngine.mServices.end() ||
+                              service->second->mFullShards == 0;
+                     });
+}
+
+void
+SetUpstreams(Engine& aEngine, const std::vector<UpstreamInfo>& aUpstreams)
+{
+  const RangeVotes votes = CountRanges(aUpstreams);
+  std::set<ShardKey> served;
+  for (ShardState* const shard : aEngine.mToPump) {
+    shard->mPumpQueued = false;
+  }
+  aEngine.mToPump.clear();
+  for (auto& [key, shard] : aEngine.mShards) {
+    if (!shard->mReplicas.empty()) {
+      served.insert(key);
+    }
+    shard->mReplicas.clear();
+  }
+  std::set<std::string_view> listed;
+  for (const UpstreamInfo& info : aUpstreams) {
+    if (info.mState == UpstreamState::Left || !listed.insert(info.mId).second) {
+      continue;
+    }
+    std::unique_ptr<Replica>& replica = aEngine.mReplicas[info.mId];
+    if (replica == nullptr) {
+      replica = std::make_unique<Replica>();
+    }
+    const ShardKey key = KeyOf(info);
+    UpdateReplica(aEngine, *replica, info, served.contains(key));
+    const KeyRange range = MajorityRange(votes.at(key));
+    replica->mShard = nullptr;
+    if (range == info.mRange) {
+      ShardState& shard = FindShard(aEngine, key, range);
+      shard.mReplicas.push_back(replica.get());
+      replica->mShard = &shard;
+    }
+  }
+  RemoveUnlisted(aEngine, listed);
+  RemoveUnusedShards(aEngine);
+  RecountShards(aEngine);
+}
+
+void
+SetShares(Engine& aEngine, std::map<std::string, std::uint32_t> aShares)
+{
+  aEngine.mShares = std::move(aShares);
+  RecountShards(aEngine);
+}
+
+} // namespace apricotyard
