--- /dev/null
+++ b/src/raft_member.cpp
@@ -0,0 +1,489 @@
+#include "raft_member.h"
+
+#include "log.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace apricotyard {
+
+namespace {
+
+// Terms that a recovered member skips, so that its term is above any that the lost members reached
+// after its last contact with them.
+constexpr std::uint64_t kRecoveryTerms = 1'000'000;
+
+} // namespace
+
+Expected<std::unique_ptr<RaftMember>>
+RaftMember::Open(MemberSettings aSettings,
+                 const Chart& aChart,
+                 std::unique_ptr<Storage> aStorage,
+                 StateMachine aMachine,
+                 Sender aSend,
+                 TimePoint aNow)
+{
+  std::unique_ptr<RaftMember> member(new RaftMember(std::move(aSettings), aChart));
+  member->mStorage = std::move(aStorage);
+  member->mMachine = std::move(aMachine);
+  member->mSend = std::move(aSend);
+  member->mSettings.mRaft.mSelf = member->mStorage->Identity();
+  RaftStart start = member->mStorage->TakeStart();
+  member->mApplied = start.mSnapshot.mIndex;
+  member->mAppliedTerm = start.mSnapshot.mTerm;
+  if (start.mSnapshot.mIndex > 0) {
+    if (auto restored = member->mMachine.mRestore(member->mStorage->TakeSnapshotData());
+        !restored) {
+      return tl::unexpected(restored.error());
+    }
+  }
+  const std::size_t entries = start.mEntries.size();
+  member->mRaft =
+    StartRaft(member->mSettings.mRaft, aChart, std::move(start), member->mSettings.mSeed, aNow);
+  LogEvent(Event::MemberStarted,
+           { { "member", member->mSettings.mRaft.mSelf },
+             { "folder", member->mStorage->Folder() },
+             { "snapshot", member->mApplied },
+             { "entries", entries } });
+  if (member->mStorage->CutBytes() > 0) {
+    LogEvent(Event::LogTailCut, { { "bytes", member->mStorage->CutBytes() } });
+  }
+  return member;
+}
+
+Expected<void>
+RaftMember::Form(const std::vector<LogMember>& aMembers, TimePoint aNow)
+{
+  if (Formed()) {
+    return Fail(Result::BadRequest, "the member has a member list already");
+  }
+  const VoteState vote{ std::max<std::uint64_t>(1, mRaft.mVote.mTerm), "" };
+  const LogEntry entry{ 1, 1, EntryKind::Members, EncodeMembers(aMembers) };
+  auto done = mStorage->SaveVote(vote);
+  if (done) {
+    done = mStorage->Append({ &entry, 1 });
+  }
+  if (!done) {
+    return done;
+  }
+  RaftStart start{ vote, {}, { entry } };
+  mRaft = StartRaft(mSettings.mRaft, mChart, std::move(start), mSettings.mSeed, aNow);
+  LogEvent(Event::MembershipFormed,
+           { { "member", mSettings.mRaft.mSelf }, { "members", entry.mData } });
+  return {};
+}
+
+void
+RaftMember::Tick(TimePoint aNow)
+{
+  RaftTick(mRaft, aNow);
+}
+
+void
+RaftMember::Receive(const RaftMessage& aMessage, TimePoint aNow)
+{
+  RaftReceive(mRaft, aMessage, aNow);
+}
+
+void
+RaftMember::Await(Expected<std::uint64_t> aIndex, OutcomeHandler aDone, TimePoint aNow)
+{
+  if (!aIndex) {
+    aDone(tl::unexpected(aIndex.error()));
+    return;
+  }
+  mProposals.emplace(*aIndex,
+                     Waiting{ mRaft.mVote.mTerm, aNow + mSettings.mTimeout, std::move(aDone) });
+}
+
+void
+RaftMember::AwaitChange(Expected<std::uint64_t> aIndex, DoneHandler aDone, TimePoint aNow)
+{
+  Await(
+    std::move(aIndex),
+    [done = std::move(aDone)](const Expected<std::string>& aOutcome) {
+      done(aOutcome ? Expected<void>() : tl::unexpected(aOutcome.error()));
+    },
+    aNow);
+}
+
+void
+RaftMember::Propose(std::string aCommand, OutcomeHandler aDone, TimePoint aNow)
+{
+  if (DiskIsFull()) {
+    aDone(Fail(Result::DiskFull, fmt::format("the disk of {} is full", mStorage->Folder())));
+    return;
+  }
+  Await(RaftPropose(mRaft, std::move(aCommand), aNow), std::move(aDone), aNow);
+}
+
+void
+RaftMember::AddLearner(const LogMember& aMember, DoneHandler aDone, TimePoint aNow)
+{
+  AwaitChange(RaftAddLearner(mRaft, aMember, aNow), std::move(aDone), aNow);
+}
+
+void
+RaftMember::Promote(const std::string& aMember, DoneHandler aDone, TimePoint aNow)
+{
+  AwaitChange(RaftPromote(mRaft, aMember, aNow), std::move(aDone), aNow);
+}
+
+void
+RaftMember::Remove(const std::string& aMember, DoneHandler aDone, TimePoint aNow)
+{
+  AwaitChange(RaftRemove(mRaft, aMember, aNow), std::move(aDone), aNow);
+}
+
+void
+RaftMember::ReadBarrier(DoneHandler aDone, TimePoint aNow)
+{
+  mAsked[RaftRead(mRaft, aNow)] = { aNow + mSettings.mTimeout, std::move(aDone) };
+}
+
+void
+RaftMember::SendAll(std::vector<RaftMessage> aMessages)
+{
+  for (RaftMessage& message : aMessages) {
+    if (message.mType == MessageType::Snapshot) {
+      auto data = mStorage->ReadSnapshot(message.mOffset, mSettings.mRaft.mChunkBytes);
+      if (!data) {
+        // The receiver gets nothing and the leader sends the chunk again.
+        LogEvent(Event::StorageFatal, { { "reason", data.error().mMessage } });
+        continue;
+      }
+      message.mData = std::move(*data);
+    }
+    mSend(std::move(message));
+  }
+}
+
+Expected<void>
+RaftMember::Persist(const RaftWrite& aWrite)
+{
+  Expected<void> done;
+  if (aWrite.mVote) {
+    done = mStorage->SaveVote(*aWrite.mVote);
+  }
+  if (done && aWrite.mSnapshot) {
+    done = mStorage->SaveSnapshot(*aWrite.mSnapshot, aWrite.mSnapshotData, aWrite.mKeepLog);
+  }
+  if (done && !aWrite.mEntries.empty()) {
+    done = mStorage->Append(aWrite.mEntries);
+  }
+  return done;
+}
+
+Expected<void>
+RaftMember::Restore(const RaftWrite& aWrite)
+{
+  const SnapshotMeta& meta = *aWrite.mSnapshot;
+  if (meta.mIndex <= mApplied) {
+    return {};
+  }
+  if (auto restored = mMachine.mRestore(aWrite.mSnapshotData); !restored) {
+    return restored;
+  }
+  mApplied = meta.mIndex;
+  mAppliedTerm = meta.mTerm;
+  mAppliedBytes = 0;
+  // The snapshot holds the effect of these proposals, if they were committed, but not their
+  // outcome.
+  while (!mProposals.empty() && mProposals.begin()->first <= mApplied) {
+    const Waiting waiting = std::move(mProposals.begin()->second);
+    mProposals.erase(mProposals.begin());
+    waiting.mDone(Fail(Result::ProposalUnknown, "a snapshot replaced the log"));
+  }
+  LogEvent(Event::SnapshotInstalled, { { "index", meta.mIndex }, { "bytes", meta.mSize } });
+  return {};
+}
+
+// Makes the waiting writes durable in order. A full disk ends the round; the next one repeats the
+// write that failed.
+Expected<void>
+RaftMember::RunWrites(TimePoint aNow)
+{
+  while (!mWrites.empty()) {
+    const RaftWrite write = std::move(mWrites.front());
+    mWrites.pop_front();
+    if (auto done = Persist(write); !done) {
+      if (done.error().mResult != Result::DiskFull) {
+        return done;
+      }
+      mWrites.push_front(write);
+      return {};
+    }
+    if (write.mSnapshot) {
+      if (auto restored = Restore(write); !restored) {
+        return restored;
+      }
+    }
+    RaftSynced(mRaft, write.mSequence, aNow);
+  }
+  return {};
+}
+
+void
+RaftMember::Apply()
+{
+  // Entries after a received snapshot wait until the snapshot is durable and restored.
+  const bool blocked = std::any_of(mWrites.begin(), mWrites.end(), [](const RaftWrite& aWrite) {
+    return aWrite.mSnapshot.has_value();
+  });
+  while (!blocked && !mCommitted.empty()) {
+    const LogEntry entry = std::move(mCommitted.front());
+    mCommitted.pop_front();
+    if (entry.mIndex <= mApplied) {
+      continue;
+    }
+    std::string outcome;
+    if (entry.mKind == EntryKind::Command) {
+      outcome = mMachine.mApply(entry.mIndex, entry.mData);
+    } else if (entry.mKind == EntryKind::Members) {
+      LogEvent(Event::MembersChanged, { { "index", entry.mIndex }, { "members", entry.mData } });
+    }
+    mApplied = entry.mIndex;
+    mAppliedTerm = entry.mTerm;
+    mAppliedBytes += entry.mData.size();
+    while (!mProposals.empty() && mProposals.begin()->first <= mApplied) {
+      const auto [index, waiting] = std::move(*mProposals.begin());
+      mProposals.erase(mProposals.begin());
+      if (waiting.mTerm == entry.mTerm) {
+        waiting.mDone(outcome);
+      } else {
+        waiting.mDone(Fail(Result::ProposalDropped, "another leader replaced the entry"));
+      }
+    }
+  }
+}
+
+void
+RaftMember::ReportReads()
+{
+  while (!mReads.empty() && mReads.begin()->first <= mApplied) {
+    const DoneHandler done = std::move(mReads.begin()->second);
+    mReads.erase(mReads.begin());
+    done({});
+  }
+}
+
+Expected<void>
+RaftMember::MaybeSnapshot()
+{
+  if (mApplied < mRaft.mSnapshot.mIndex + mSettings.mSnapshotEntries &&
+      mAppliedBytes < mSettings.mSnapshotBytes) {
+    return {};
+  }
+  if (mApplied <= mRaft.mSnapshot.mIndex || DiskIsFull()) {
+    return {};
+  }
+  const std::string data = mMachine.mSnapshot();
+  const SnapshotMeta meta{ mApplied, mAppliedTerm, RaftMembersAt(mRaft, mApplied), data.size() };
+  if (auto saved = mStorage->SaveSnapshot(meta, data, true); !saved) {
+    // The log still holds everything; the next round tries again.
+    return saved.error().mResult == Result::DiskFull ? Expected<void>() : saved;
+  }
+  mAppliedBytes = 0;
+  RaftCompact(mRaft, meta);
+  LogEvent(Event::SnapshotWritten, { { "index", meta.mIndex }, { "bytes", meta.mSize } });
+  return {};
+}
+
+void
+RaftMember::ReportLate(TimePoint aNow)
+{
+  std::vector<OutcomeHandler> late;
+  for (auto it = mProposals.begin(); it != mProposals.end();) {
+    if (it->second.mDeadline <= aNow) {
+      late.push_back(std::move(it->second.mDone));
+      it = mProposals.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  std::vector<DoneHandler> lateReads;
+  while (!mAsked.empty() && mAsked.begin()->second.mDeadline <= aNow) {
+    lateReads.push_back(std::move(mAsked.begin()->second.mDone));
+    mAsked.erase(mAsked.begin());
+  }
+  for (const OutcomeHandler& done : late) {
+    done(Fail(Result::ProposalUnknown, "no majority confirmed the change in time"));
+  }
+  for (const DoneHandler& done : lateReads) {
+    done(Fail(Result::ReadUnavailable, "no leader confirmed the read in time"));
+  }
+}
+
+void
+RaftMember::LogChanges()
+{
+  if (mLoggedRole == mRaft.mRole && mLoggedTerm == mRaft.mVote.mTerm &&
+      mLoggedLeader == mRaft.mLeader) {
+    return;
+  }
+  mLoggedRole = mRaft.mRole;
+  mLoggedTerm = mRaft.mVote.mTerm;
+  mLoggedLeader = mRaft.mLeader;
+  LogEvent(Event::RoleChanged,
+           { { "member", mSettings.mRaft.mSelf },
+             { "role", RoleName(mRaft.mRole) },
+             { "term", mRaft.mVote.mTerm },
+             { "leader", mRaft.mLeader } });
+}
+
+Expected<void>
+RaftMember::Pump(TimePoint aNow)
+{
+  const bool wasFull = DiskIsFull();
+  for (;;) {
+    RaftOutput output = RaftTakeOutput(mRaft, aNow);
+    const bool idle = output.mMessages.empty() && output.mWrite.Empty() &&
+                      output.mCommitted.empty() && output.mReads.empty();
+    // A leader's messages go out before its own sync; they do not depend on it.
+    SendAll(std::move(output.mMessages));
+    if (!output.mWrite.Empty()) {
+      mWrites.push_back(std::move(output.mWrite));
+    }
+    std::move(output.mCommitted.begin(), output.mCommitted.end(), std::back_inserter(mCommitted));
+    for (ReadResult& read : output.mReads) {
+      const auto asked = mAsked.find(read.mRead);
+      if (asked == mAsked.end()) {
+        continue;
+      }
+      const DoneHandler done = std::move(asked->second.mDone);
+      mAsked.erase(asked);
+      if (read.mIndex) {
+        mReads.emplace(*read.mIndex, done);
+      } else {
+        done(tl::unexpected(read.mIndex.error()));
+      }
+    }
+    if (auto written = RunWrites(aNow); !written) {
+      return written;
+    }
+    Apply();
+    ReportReads();
+    if (idle) {
+      break;
+    }
+  }
+  if (wasFull != DiskIsFull()) {
+    LogEvent(wasFull ? Event::DiskSpaceReturned : Event::DiskFullRefusing,
+             { { "folder", mStorage->Folder() } });
+  }
+  ReportLate(aNow);
+  LogChanges();
+  return MaybeSnapshot();
+}
+
+LogStatus
+RaftMember::Status(TimePoint aNow) const
+{
+  LogStatus status;
+  status.mSelf = mSettings.mRaft.mSelf;
+  status.mLeading = RaftLeading(mRaft, aNow);
+  status.mLeader = mRaft.mLeader;
+  status.mTerm = mRaft.mVote.mTerm;
+  status.mLastIndex = RaftLastIndex(mRaft);
+  status.mCommitted = mRaft.mCommitted;
+  status.mApplied = mApplied;
+  status.mMembers = RaftMembers(mRaft);
+  for (LogMember& member : status.mMembers) {
+    const auto progress = mRaft.mProgress.find(member.mId);
+    if (member.mId == status.mSelf) {
+      member.mMatched = mRaft.mSynced;
+    } else if (progress != mRaft.mProgress.end()) {
+      member.mMatched = progress->second.mMatch;
+    }
+  }
+  return status;
+}
+
+void
+RaftMember::FailAll()
+{
+  const auto proposals = std::move(mProposals);
+  const auto asked = std::move(mAsked);
+  const auto reads = std::move(mReads);
+  mProposals.clear();
+  mAsked.clear();
+  mReads.clear();
+  for (const auto& [index, waiting] : proposals) {
+    waiting.mDone(Fail(Result::ProposalUnknown, "this member stops"));
+  }
+  for (const auto& [number, read] : asked) {
+    read.mDone(Fail(Result::ReadUnavailable, "this member stops"));
+  }
+  for (const auto& [index, done] : reads) {
+    done(Fail(Result::ReadUnavailable, "this member stops"));
+  }
+}
+
+Expected<RecoveryReport>
+RecoverMember(FileOps aOps,
+              const std::string& aFolder,
+              const SocketAddress& aAddress,
+              std::uint64_t aNonce,
+              bool aDryRun)
+{
+  std::vector<std::string> names;
+  if (aOps.mList(aFolder, names) < 0 ||
+      std::find(names.begin(), names.end(), "FORMAT") == names.end()) {
+    return Fail(Result::BadRequest, fmt::format("{} is no data folder of a member", aFolder));
+  }
+  auto storage = Storage::Open(std::move(aOps), aFolder, "", aNonce);
+  if (!storage) {
+    return tl::unexpected(storage.error());
+  }
+  RaftStart start = (*storage)->TakeStart();
+  RecoveryReport report;
+  report.mOldMembers = start.mSnapshot.mMembers;
+  report.mLastIndex = start.mSnapshot.mIndex;
+  report.mLastTerm = start.mSnapshot.mTerm;
+  for (const LogEntry& entry : start.mEntries) {
+    report.mLastIndex = entry.mIndex;
+    report.mLastTerm = entry.mTerm;
+    if (entry.mKind == EntryKind::Members) {
+      report.mOldMembers = DecodeMembers(entry.mData).value_or(report.mOldMembers);
+    }
+  }
+  if (report.mOldMembers.empty()) {
+    return Fail(Result::BadRequest, fmt::format("{} holds no member list", aFolder));
+  }
+  report.mOldIdentity = (*storage)->Identity();
+  const std::string name = report.mOldIdentity.substr(0, report.mOldIdentity.rfind('.'));
+  report.mNewIdentity = fmt::format("{}.{:08x}", name, static_cast<std::uint32_t>(aNonce));
+  report.mWarning = fmt::format(
+    "This member holds the log up to index {} (term {}). Changes that the lost members accepted "
+    "after it are lost, and changes at the end of this log that were never acknowledged come into "
+    "force. The old members must not be started again: with their folders they would form a second "
+    "group.",
+    report.mLastIndex,
+    report.mLastTerm);
+  if (aDryRun) {
+    return report;
+  }
+  const std::uint64_t term = std::max(start.mVote.mTerm, report.mLastTerm) + kRecoveryTerms;
+  const LogEntry entry{ report.mLastIndex + 1,
+                        term,
+                        EntryKind::Members,
+                        EncodeMembers({ { report.mNewIdentity, aAddress, MemberRole::Voter } }) };
+  // The identity comes first: after a crash in between, the member is in no list and cannot vote,
+  // and the command can be repeated.
+  auto done = (*storage)->ReplaceIdentity(report.mNewIdentity);
+  if (done) {
+    done = (*storage)->SaveVote({ term, "" });
+  }
+  if (done) {
+    done = (*storage)->Append({ &entry, 1 });
+  }
+  if (!done) {
+    return tl::unexpected(done.error());
+  }
+  LogEvent(Event::MemberRecovered,
+           { { "member", report.mNewIdentity }, { "last_index", report.mLastIndex } });
+  return report;
+}
+
+} // namespace apricotyard
--- /dev/null
+++ b/src/raft_node.cpp
@@ -0,0 +1,842 @@
+#include "raft_node.h"
+
+#include "log.h"
+#include "raft.grpc.pb.h"
+#include "settings.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+#include <fmt/format.h>
+#include <grpcpp/grpcpp.h>
+
+namespace apricotyard {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(25);
+// How often a member without a member list asks the initial members.
+constexpr Duration kFormInterval = std::chrono::milliseconds(500);
+constexpr std::chrono::milliseconds kIdentifyTimeout{ 1000 };
+// Messages that wait for one peer. Beyond it the oldest is dropped; the protocol repeats it.
+constexpr std::size_t kLinkMessages = 4096;
+constexpr std::size_t kLinkBytes = std::size_t{ 32 } * 1024 * 1024;
+constexpr absl::Duration kLinkRetry = absl::Milliseconds(200);
+// A connection that stops delivering without an error is closed after both together.
+constexpr int kKeepaliveMillis = 1000;
+constexpr int kKeepaliveTimeoutMillis = 1000;
+constexpr int kMaxMessageBytes = 64 * 1024 * 1024;
+constexpr int kServerThreads = 32;
+constexpr std::size_t kNonceChars = 8;
+
+bool
+HasNonce(std::string_view aId)
+{
+  return aId.size() > kNonceChars + 1 && aId[aId.size() - kNonceChars - 1] == '.' &&
+         aId.find_first_not_of("0123456789abcdef", aId.size() - kNonceChars) ==
+           std::string_view::npos;
+}
+
+std::string_view
+NameOf(std::string_view aId)
+{
+  return HasNonce(aId) ? aId.substr(0, aId.size() - kNonceChars - 1) : aId;
+}
+
+std::size_t
+SizeOf(const RaftMessage& aMessage)
+{
+  std::size_t size = sizeof(RaftMessage) + aMessage.mData.size();
+  for (const LogEntry& entry : aMessage.mEntries) {
+    size += sizeof(LogEntry) + entry.mData.size();
+  }
+  return size;
+}
+
+rpc::RaftEnvelope
+Encode(RaftMessage aMessage, const SocketAddress& aFrom)
+{
+  rpc::RaftEnvelope envelope;
+  envelope.set_type(static_cast<rpc::RaftEnvelope::Type>(aMessage.mType));
+  envelope.set_from(std::move(aMessage.mFrom));
+  envelope.set_to(std::move(aMessage.mTo));
+  envelope.set_term(aMessage.mTerm);
+  envelope.set_index(aMessage.mIndex);
+  envelope.set_log_term(aMessage.mLogTerm);
+  envelope.set_committed(aMessage.mCommitted);
+  envelope.set_granted(aMessage.mGranted);
+  envelope.set_hint(aMessage.mHint);
+  envelope.set_sent_at(aMessage.mSentAt.time_since_epoch().count());
+  envelope.set_offset(aMessage.mOffset);
+  envelope.set_total(aMessage.mTotal);
+  envelope.set_data(std::move(aMessage.mData));
+  envelope.set_read(aMessage.mRead);
+  envelope.set_from_ip(aFrom.mIp);
+  envelope.set_from_port(aFrom.mPort);
+  for (LogEntry& entry : aMessage.mEntries) {
+    rpc::RaftEntry& out = *envelope.add_entries();
+    out.set_index(entry.mIndex);
+    out.set_term(entry.mTerm);
+    out.set_kind(static_cast<std::uint32_t>(entry.mKind));
+    out.set_data(std::move(entry.mData));
+  }
+  for (const LogMember& member : aMessage.mMembers) {
+    rpc::RaftMember& out = *envelope.add_members();
+    out.set_id(member.mId);
+    out.set_ip(member.mAddress.mIp);
+    out.set_port(member.mAddress.mPort);
+    out.set_voter(member.mRole == MemberRole::Voter);
+  }
+  return envelope;
+}
+
+// Nothing if the message is malformed.
+std::optional<RaftMessage>
+Decode(rpc::RaftEnvelope& aEnvelope)
+{
+  if (!rpc::RaftEnvelope::Type_IsValid(aEnvelope.type())) {
+    return std::nullopt;
+  }
+  RaftMessage message;
+  message.mType = static_cast<MessageType>(aEnvelope.type());
+  message.mFrom = aEnvelope.from();
+  message.mTo = aEnvelope.to();
+  message.mTerm = aEnvelope.term();
+  message.mIndex = aEnvelope.index();
+  message.mLogTerm = aEnvelope.log_term();
+  message.mCommitted = aEnvelope.committed();
+  message.mGranted = aEnvelope.granted();
+  message.mHint = aEnvelope.hint();
+  message.mSentAt = TimePoint(Duration(aEnvelope.sent_at()));
+  message.mOffset = aEnvelope.offset();
+  message.mTotal = aEnvelope.total();
+  message.mData = std::move(*aEnvelope.mutable_data());
+  message.mRead = aEnvelope.read();
+  for (rpc::RaftEntry& entry : *aEnvelope.mutable_entries()) {
+    if (entry.kind() > static_cast<std::uint32_t>(EntryKind::Members)) {
+      return std::nullopt;
+    }
+    message.mEntries.push_back({ entry.index(),
+                                 entry.term(),
+                                 static_cast<EntryKind>(entry.kind()),
+                                 std::move(*entry.mutable_data()) });
+  }
+  for (const rpc::RaftMember& member : aEnvelope.members()) {
+    message.mMembers.push_back({ member.id(),
+                                 { member.ip(), static_cast<std::uint16_t>(member.port()) },
+                                 member.voter() ? MemberRole::Voter : MemberRole::Learner });
+  }
+  return message;
+}
+
+std::shared_ptr<grpc::Channel>
+OpenChannel(const SocketAddress& aAddress,
+            const std::shared_ptr<grpc::ChannelCredentials>& aCredentials)
+{
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveMillis);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMillis);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+  arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+  // Each link has its own connection; a shared one would tie the fate of the links together.
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
+  return grpc::CreateCustomChannel(FormatSocketAddress(aAddress), aCredentials, arguments);
+}
+
+// Sends messages to one peer in order, on its own thread, through one stream.
+class PeerLink
+{
+public:
+  PeerLink(std::string aPeer,
+           const SocketAddress& aPeerAddress,
+           SocketAddress aOwnAddress,
+           const std::shared_ptr<grpc::ChannelCredentials>& aCredentials)
+    : mPeer(std::move(aPeer))
+    , mPeerAddress(aPeerAddress)
+    , mOwnAddress(std::move(aOwnAddress))
+    , mStub(rpc::Raft::NewStub(OpenChannel(aPeerAddress, aCredentials)))
+    , mThread([this] { Main(); })
+  {
+  }
+
+  ~PeerLink()
+  {
+    {
+      absl::MutexLock lock(&mMutex);
+      mStopping = true;
+      if (mContext != nullptr) {
+        mContext->TryCancel();
+      }
+    }
+    mThread.join();
+  }
+
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+
+  const SocketAddress& Address() const { return mPeerAddress; }
+
+  // Thread-safe.
+  void Send(RaftMessage aMessage)
+  {
+    absl::MutexLock lock(&mMutex);
+    mBytes += SizeOf(aMessage);
+    mQueue.push_back(std::move(aMessage));
+    while (mQueue.size() > kLinkMessages || mBytes > kLinkBytes) {
+      mBytes -= SizeOf(mQueue.front());
+      mQueue.pop_front();
+    }
+  }
+
+private:
+  // Waits for a message; nothing when the link stops.
+  std::optional<RaftMessage> Next()
+  {
+    absl::MutexLock lock(&mMutex);
+    const auto ready = [this] { return mStopping || !mQueue.empty(); };
+    mMutex.Await(absl::Condition(&ready));
+    if (mStopping) {
+      return std::nullopt;
+    }
+    RaftMessage message = std::move(mQueue.front());
+    mQueue.pop_front();
+    mBytes -= SizeOf(message);
+    return message;
+  }
+
+  // Drops what waits, because it is old by the time the peer is back, and waits before the next
+  // try.
+  bool Pause()
+  {
+    absl::MutexLock lock(&mMutex);
+    const bool stopping = mMutex.AwaitWithTimeout(absl::Condition(&mStopping), kLinkRetry);
+    mQueue.clear();
+    mBytes = 0;
+    return stopping;
+  }
+
+  // Sends until the stream or the link ends.
+  void RunStream(RaftMessage aFirst)
+  {
+    grpc::ClientContext context;
+    {
+      absl::MutexLock lock(&mMutex);
+      if (mStopping) {
+        return;
+      }
+      mContext = &context;
+    }
+    rpc::DeliverReply reply;
+    const auto writer = mStub->Deliver(&context, &reply);
+    std::optional<RaftMessage> message = std::move(aFirst);
+    while (message && writer->Write(Encode(std::move(*message), mOwnAddress))) {
+      message = Next();
+    }
+    context.TryCancel();
+    const grpc::Status status = writer->Finish();
+    absl::MutexLock lock(&mMutex);
+    mContext = nullptr;
+    if (!mStopping) {
+      LogEvent(Event::PeerStreamEnded,
+               { { "peer", mPeer },
+                 { "address", FormatSocketAddress(mPeerAddress) },
+                 { "message", status.error_message() } });
+    }
+  }
+
+  void Main()
+  {
+    while (auto message = Next()) {
+      RunStream(std::move(*message));
+      if (Pause()) {
+        return;
+      }
+    }
+  }
+
+  const std::string mPeer;
+  const SocketAddress mPeerAddress;
+  const SocketAddress mOwnAddress;
+  const std::unique_ptr<rpc::Raft::Stub> mStub;
+  absl::Mutex mMutex;
+  std::deque<RaftMessage> mQueue;
+  std::size_t mBytes = 0;
+  bool mStopping = false;
+  grpc::ClientContext* mContext = nullptr;
+  std::thread mThread;
+};
+
+// Receives from all peers on gRPC's threads.
+class PeerService final : public rpc::Raft::Service
+{
+public:
+  using Receiver = std::function<void(RaftMessage, SocketAddress)>;
+
+  PeerService(std::string aIdentity, Receiver aReceive)
+    : mIdentity(std::move(aIdentity))
+    , mReceive(std::move(aReceive))
+  {
+  }
+
+  grpc::Status Deliver(grpc::ServerContext* /*aContext*/,
+                       grpc::ServerReader<rpc::RaftEnvelope>* aReader,
+                       rpc::DeliverReply* /*aReply*/) override
+  {
+    rpc::RaftEnvelope envelope;
+    while (aReader->Read(&envelope)) {
+      if (envelope.to() != mIdentity) {
+        // The sender means the disk that this host had before.
+        LogEvent(Event::WrongIdentity, { { "from", envelope.from() }, { "to", envelope.to() } });
+        return { grpc::StatusCode::NOT_FOUND, "this host has another identity" };
+      }
+      SocketAddress from{ envelope.from_ip(), static_cast<std::uint16_t>(envelope.from_port()) };
+      auto message = Decode(envelope);
+      if (!message) {
+        return { grpc::StatusCode::INVALID_ARGUMENT, "malformed message" };
+      }
+      mReceive(std::move(*message), std::move(from));
+    }
+    return grpc::Status::OK;
+  }
+
+  grpc::Status Identify(grpc::ServerContext* /*aContext*/,
+                        const rpc::IdentifyRequest* /*aRequest*/,
+                        rpc::IdentifyReply* aReply) override
+  {
+    aReply->set_identity(mIdentity);
+    aReply->set_formed(mFormed.load());
+    return grpc::Status::OK;
+  }
+
+  void SetFormed(bool aFormed) { mFormed.store(aFormed); }
+
+private:
+  const std::string mIdentity;
+  const Receiver mReceive;
+  std::atomic<bool> mFormed{ false };
+};
+
+struct IdentifyCall
+{
+  std::unique_ptr<rpc::Raft::Stub> mStub;
+  grpc::ClientContext mContext;
+  rpc::IdentifyRequest mRequest;
+  rpc::IdentifyReply mReply;
+};
+
+// The calls that run. Their callbacks use the loop, so the node waits for them before it ends.
+class IdentifyCalls
+{
+public:
+  // Thread-safe, as is Remove.
+  void Add(IdentifyCall* aCall)
+  {
+    absl::MutexLock lock(&mMutex);
+    mRunning.insert(aCall);
+  }
+
+  void Remove(IdentifyCall* aCall)
+  {
+    absl::MutexLock lock(&mMutex);
+    mRunning.erase(aCall);
+  }
+
+  void CancelAndWait()
+  {
+    absl::MutexLock lock(&mMutex);
+    for (IdentifyCall* call : mRunning) {
+      call->mContext.TryCancel();
+    }
+    const auto none = [this] { return mRunning.empty(); };
+    mMutex.Await(absl::Condition(&none));
+  }
+
+private:
+  absl::Mutex mMutex;
+  std::set<IdentifyCall*> mRunning;
+};
+
+} // namespace
+
+// Shared with tasks that wait in the loop's mailbox, which may outlive the node.
+struct RaftNode::State : std::enable_shared_from_this<RaftNode::State>
+{
+  explicit State(Loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  using IdentifyHandler = std::function<void(Expected<rpc::IdentifyReply>)>;
+
+  void SchedulePump();
+  void Pump();
+  void Tick();
+  void TryToForm();
+  void Identify(const SocketAddress& aAddress, IdentifyHandler aDone);
+  void SendTo(RaftMessage aMessage);
+  void OnMessage(const RaftMessage& aMessage, const SocketAddress& aFrom);
+  void Fatal(const Error& aError);
+  Expected<std::string> Resolve(const std::string& aMember) const;
+
+  Loop& mLoop;
+  Chart mChart;
+  std::string mName;
+  SocketAddress mAddress;
+  std::vector<LogMember> mInitial;
+  std::shared_ptr<grpc::ServerCredentials> mServerCredentials;
+  std::shared_ptr<grpc::ChannelCredentials> mClientCredentials;
+  std::function<void(const Error&)> mOnFatal;
+  std::unique_ptr<RaftMember> mMember;
+  std::unique_ptr<PeerService> mService;
+  std::unique_ptr<grpc::Server> mServer;
+  std::map<std::string, std::unique_ptr<PeerLink>> mLinks;
+  // Addresses of senders that the member list does not hold, such as the leader of a new learner.
+  std::map<std::string, SocketAddress> mSenders;
+  std::map<std::string, std::string> mIdentities;
+  IdentifyCalls mCalls;
+  TimePoint mNextForm{};
+  std::optional<Error> mFailure;
+  bool mPumpPosted = false;
+};
+
+// Runs one pump for everything that arrives in this round of the loop, so that one sync covers it.
+void
+RaftNode::State::SchedulePump()
+{
+  if (!mPumpPosted) {
+    // If the mailbox is full, the next tick pumps.
+    mPumpPosted = mLoop.Post([weak = weak_from_this()] {
+      if (const auto state = weak.lock()) {
+        state->mPumpPosted = false;
+        state->Pump();
+      }
+    });
+  }
+}
+
+void
+RaftNode::State::Pump()
+{
+  if (mFailure) {
+    return;
+  }
+  if (auto done = mMember->Pump(SteadyNow()); !done) {
+    Fatal(done.error());
+    return;
+  }
+  mService->SetFormed(mMember->Formed());
+}
+
+void
+RaftNode::State::Fatal(const Error& aError)
+{
+  LogEvent(Event::StorageFatal, { { "reason", aError.mMessage } });
+  mFailure = aError;
+  mMember->FailAll();
+  mOnFatal(aError);
+}
+
+void
+RaftNode::State::Tick()
+{
+  if (mFailure) {
+    return;
+  }
+  mMember->Tick(SteadyNow());
+  if (!mMember->Formed()) {
+    TryToForm();
+  }
+  Pump();
+  const auto& members = RaftMembers(mMember->Core());
+  std::erase_if(mLinks, [&](const auto& aLink) {
+    return !mSenders.contains(aLink.first) &&
+           std::none_of(members.begin(), members.end(), [&](const LogMember& aMember) {
+             return aMember.mId == aLink.first;
+           });
+  });
+}
+
+void
+RaftNode::State::Identify(const SocketAddress& aAddress, IdentifyHandler aDone)
+{
+  auto call = std::make_shared<IdentifyCall>();
+  call->mStub = rpc::Raft::NewStub(OpenChannel(aAddress, mClientCredentials));
+  call->mContext.set_deadline(std::chrono::system_clock::now() + kIdentifyTimeout);
+  mCalls.Add(call.get());
+  call->mStub->async()->Identify(
+    &call->mContext,
+    &call->mRequest,
+    &call->mReply,
+    [call, weak = weak_from_this(), this, done = std::move(aDone)](const grpc::Status& aStatus) {
+      Expected<rpc::IdentifyReply> reply = call->mReply;
+      if (!aStatus.ok()) {
+        reply = Fail(Result::ReadUnavailable, aStatus.error_message());
+      }
+      mLoop.Post([weak, done, reply = std::move(reply)] {
+        if (weak.lock()) {
+          done(reply);
+        }
+      });
+      mCalls.Remove(call.get());
+    });
+}
+
+void
+RaftNode::State::TryToForm()
+{
+  const TimePoint now = SteadyNow();
+  const auto lowest =
+    std::min_element(mInitial.begin(), mInitial.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mId < aRight.mId;
+    });
+  if (now < mNextForm || lowest == mInitial.end() || lowest->mId != mName) {
+    return;
+  }
+  mNextForm = now + kFormInterval;
+  std::vector<LogMember> members;
+  for (const LogMember& member : mInitial) {
+    if (member.mId == mName) {
+      members.push_back({ mMember->Core().mSettings.mSelf, mAddress, MemberRole::Voter });
+    } else if (const auto known = mIdentities.find(member.mId); known != mIdentities.end()) {
+      members.push_back({ known->second, member.mAddress, MemberRole::Voter });
+    }
+  }
+  if (members.size() == mInitial.size()) {
+    if (auto formed = mMember->Form(members, now); !formed) {
+      Fatal(formed.error());
+    }
+    return;
+  }
+  // Answers of earlier rounds are not used: the disk may have been lost since.
+  mIdentities.clear();
+  for (const LogMember& member : mInitial) {
+    if (member.mId == mName) {
+      continue;
+    }
+    Identify(member.mAddress, [this, member](const Expected<rpc::IdentifyReply>& aReply) {
+      const bool fits = aReply && !aReply->formed() && NameOf(aReply->identity()) == member.mId;
+      if (fits) {
+        mIdentities[member.mId] = aReply->identity();
+        return;
+      }
+      LogEvent(Event::FormationWaiting,
+               { { "member", member.mId },
+                 { "reason",
+                   !aReply            ? aReply.error().mMessage
+                   : aReply->formed() ? "it has a member list; add this member as a learner"
+                                      : "it has the identity " + aReply->identity() } });
+    });
+  }
+}
+
+void
+RaftNode::State::SendTo(RaftMessage aMessage)
+{
+  std::optional<SocketAddress> address;
+  for (const LogMember& member : RaftMembers(mMember->Core())) {
+    if (member.mId == aMessage.mTo) {
+      address = member.mAddress;
+    }
+  }
+  if (const auto sender = mSenders.find(aMessage.mTo); !address && sender != mSenders.end()) {
+    address = sender->second;
+  }
+  std::unique_ptr<PeerLink>& link = mLinks[aMessage.mTo];
+  if (!address && link == nullptr) {
+    mLinks.erase(aMessage.mTo);
+    return;
+  }
+  if (link == nullptr || (address && link->Address() != *address)) {
+    link = std::make_unique<PeerLink>(aMessage.mTo, *address, mAddress, mClientCredentials);
+  }
+  link->Send(std::move(aMessage));
+}
+
+void
+RaftNode::State::OnMessage(const RaftMessage& aMessage, const SocketAddress& aFrom)
+{
+  // Bounds the memory that senders outside of the member list can use.
+  constexpr std::size_t kMaxSenders = 16;
+  if (mFailure) {
+    return;
+  }
+  if (mSenders.size() >= kMaxSenders && !mSenders.contains(aMessage.mFrom)) {
+    mSenders.clear();
+  }
+  mSenders[aMessage.mFrom] = aFrom;
+  mMember->Receive(aMessage, SteadyNow());
+  SchedulePump();
+}
+
+Expected<std::string>
+RaftNode::State::Resolve(const std::string& aMember) const
+{
+  std::vector<std::string> found;
+  for (const LogMember& member : RaftMembers(mMember->Core())) {
+    if (member.mId == aMember) {
+      return aMember;
+    }
+    if (NameOf(member.mId) == aMember) {
+      found.push_back(member.mId);
+    }
+  }
+  if (found.size() != 1) {
+    return Fail(Result::UnknownMember,
+                fmt::format("{} members are named '{}'; give the name with its nonce",
+                            found.size(),
+                            aMember));
+  }
+  return found.front();
+}
+
+RaftNode::RaftNode(std::shared_ptr<State> aState)
+  : mState(std::move(aState))
+{
+}
+
+RaftNode::~RaftNode()
+{
+  mState->mCalls.CancelAndWait();
+  mState->mServer->Shutdown(std::chrono::system_clock::now());
+  mState->mMember->FailAll();
+  mState->mLinks.clear();
+  mState->mServer.reset();
+}
+
+void
+RaftNode::Propose(std::string aCommand, OutcomeHandler aDone)
+{
+  if (mState->mFailure) {
+    aDone(Fail(Result::NotLeader, "this member failed: " + mState->mFailure->mMessage));
+    return;
+  }
+  mState->mMember->Propose(std::move(aCommand), std::move(aDone), SteadyNow());
+  mState->SchedulePump();
+}
+
+void
+RaftNode::ReadBarrier(DoneHandler aDone)
+{
+  if (mState->mFailure) {
+    aDone(Fail(Result::ReadUnavailable, "this member failed: " + mState->mFailure->mMessage));
+    return;
+  }
+  mState->mMember->ReadBarrier(std::move(aDone), SteadyNow());
+  mState->SchedulePump();
+}
+
+void
+RaftNode::AddLearner(const LogMember& aMember, DoneHandler aDone)
+{
+  if (mState->mFailure) {
+    aDone(Fail(Result::NotLeader, "this member failed: " + mState->mFailure->mMessage));
+    return;
+  }
+  if (HasNonce(aMember.mId)) {
+    mState->mMember->AddLearner(aMember, std::move(aDone), SteadyNow());
+    mState->SchedulePump();
+    return;
+  }
+  const auto done = std::make_shared<DoneHandler>(std::move(aDone));
+  mState->Identify(
+    aMember.mAddress,
+    [state = mState.get(), aMember, done](const Expected<rpc::IdentifyReply>& aReply) {
+      if (!aReply || NameOf(aReply->identity()) != aMember.mId) {
+        (*done)(Fail(Result::UnknownMember,
+                     aReply ? "the address belongs to " + aReply->identity()
+                            : "the address does not answer: " + aReply.error().mMessage));
+        return;
+      }
+      LogMember member = aMember;
+      member.mId = aReply->identity();
+      state->mMember->AddLearner(member, *done, SteadyNow());
+      state->SchedulePump();
+    });
+}
+
+void
+RaftNode::Promote(const std::string& aMember, DoneHandler aDone)
+{
+  const auto id = mState->Resolve(aMember);
+  if (!id || mState->mFailure) {
+    aDone(tl::unexpected(id ? *mState->mFailure : id.error()));
+    return;
+  }
+  mState->mMember->Promote(*id, std::move(aDone), SteadyNow());
+  mState->SchedulePump();
+}
+
+void
+RaftNode::Remove(const std::string& aMember, DoneHandler aDone)
+{
+  const auto id = mState->Resolve(aMember);
+  if (!id || mState->mFailure) {
+    aDone(tl::unexpected(id ? *mState->mFailure : id.error()));
+    return;
+  }
+  mState->mMember->Remove(*id, std::move(aDone), SteadyNow());
+  mState->SchedulePump();
+}
+
+LogStatus
+RaftNode::Status() const
+{
+  LogStatus status = mState->mMember->Status(SteadyNow());
+  status.mLeading = status.mLeading && !mState->mFailure;
+  return status;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::Name(std::string aName)
+{
+  mName = std::move(aName);
+  return *this;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::Folder(std::string aFolder)
+{
+  mFolder = std::move(aFolder);
+  return *this;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::Address(SocketAddress aAddress)
+{
+  mAddress = std::move(aAddress);
+  return *this;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::InitialMembers(std::vector<LogMember> aMembers)
+{
+  mInitial = std::move(aMembers);
+  return *this;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::Machine(StateMachine aMachine)
+{
+  mMachine = std::move(aMachine);
+  return *this;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::ChartFile(std::string aPath)
+{
+  mChartFile = std::move(aPath);
+  return *this;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::Credentials(std::shared_ptr<grpc::ServerCredentials> aServer,
+                               std::shared_ptr<grpc::ChannelCredentials> aClient)
+{
+  mServerCredentials = std::move(aServer);
+  mClientCredentials = std::move(aClient);
+  return *this;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::Settings(MemberSettings aSettings)
+{
+  mSettings = std::move(aSettings);
+  return *this;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::Files(FileOps aOps)
+{
+  mFiles = std::move(aOps);
+  return *this;
+}
+
+RaftNode::Builder&
+RaftNode::Builder::OnFatal(std::function<void(const Error&)> aHandler)
+{
+  mOnFatal = std::move(aHandler);
+  return *this;
+}
+
+Expected<std::unique_ptr<RaftNode>>
+RaftNode::Builder::Start()
+{
+  auto state = std::make_shared<State>(mLoop);
+  auto chart = LoadChart(mChartFile);
+  if (!chart) {
+    return tl::unexpected(chart.error());
+  }
+  if (auto checked = CheckRaftChart(*chart); !checked) {
+    return tl::unexpected(checked.error());
+  }
+  state->mChart = std::move(*chart);
+  state->mName = mName;
+  state->mAddress = mAddress;
+  state->mInitial = mInitial;
+  state->mServerCredentials =
+    mServerCredentials ? mServerCredentials : grpc::InsecureServerCredentials();
+  state->mClientCredentials =
+    mClientCredentials ? mClientCredentials : grpc::InsecureChannelCredentials();
+  state->mOnFatal = mOnFatal ? mOnFatal : [&loop = mLoop](const Error& /*aError*/) { loop.Stop(); };
+  std::random_device entropy;
+  auto storage = Storage::Open(mFiles, mFolder, mName, entropy());
+  if (!storage) {
+    return tl::unexpected(storage.error());
+  }
+  mSettings.mSeed = (std::uint64_t{ entropy() } << 32) | entropy();
+  auto member = RaftMember::Open(
+    mSettings,
+    state->mChart,
+    std::move(*storage),
+    mMachine,
+    [raw = state.get()](RaftMessage aMessage) { raw->SendTo(std::move(aMessage)); },
+    SteadyNow());
+  if (!member) {
+    return tl::unexpected(member.error());
+  }
+  state->mMember = std::move(*member);
+  state->mService = std::make_unique<PeerService>(
+    state->mMember->Core().mSettings.mSelf,
+    [weak = std::weak_ptr<State>(state), &loop = mLoop](RaftMessage aMessage, SocketAddress aFrom) {
+      auto shared = std::make_shared<RaftMessage>(std::move(aMessage));
+      const bool posted = loop.Post([weak, shared, from = std::move(aFrom)] {
+        if (const auto strong = weak.lock()) {
+          strong->OnMessage(*shared, from);
+        }
+      });
+      if (!posted) {
+        LogEvent(Event::MessageDropped, { { "from", shared->mFrom } });
+      }
+    });
+  state->mService->SetFormed(state->mMember->Formed());
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(FormatSocketAddress(mAddress), state->mServerCredentials, &port);
+  builder.RegisterService(state->mService.get());
+  builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 100);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
+  // Two processes on one address would split the streams of the peers between them.
+  builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  grpc::ResourceQuota quota("raft");
+  quota.SetMaxThreads(kServerThreads);
+  builder.SetResourceQuota(quota);
+  state->mServer = builder.BuildAndStart();
+  if (state->mServer == nullptr || port == 0) {
+    return Fail(Result::Internal, "cannot listen on " + FormatSocketAddress(mAddress));
+  }
+  const auto tick = [weak = std::weak_ptr<State>(state)] {
+    if (const auto strong = weak.lock()) {
+      strong->Tick();
+    }
+  };
+  mLoop.AddPeriodic(kTick, tick);
+  state->SchedulePump();
+  return std::unique_ptr<RaftNode>(new RaftNode(std::move(state)));
+}
+
+} // namespace apricotyard
