--- /dev/null
+++ b/src/bench_baseline.cpp
@@ -0,0 +1,252 @@
+#include "bench_baseline.h"
+
+#include <algorithm>
+
+namespace apricotyard {
+
+namespace {
+
+// A shard is tried at most once on each of this many replicas.
+constexpr std::uint32_t kMaxTries = 3;
+
+bool
+Serves(const UpstreamInfo& aInfo, IndexVersion aVersion)
+{
+  return aInfo.mState == UpstreamState::Ready &&
+         std::find(aInfo.mVersions.begin(), aInfo.mVersions.end(), aVersion) !=
+           aInfo.mVersions.end();
+}
+
+// The shards of the newest map of a service whose replicas' ranges add up to the key space.
+std::vector<ShardKey>
+NewestMap(const Baseline& aBaseline, const std::string& aService)
+{
+  std::map<std::uint32_t, std::vector<ShardKey>> shards;
+  std::map<std::uint32_t, std::uint64_t> covered;
+  const auto first = aBaseline.mReplicas.lower_bound(ShardKey{ aService, 0, 0 });
+  for (auto entry = first; entry != aBaseline.mReplicas.end(); ++entry) {
+    if (entry->first.mService != aService) {
+      break;
+    }
+    const auto ready = [](const UpstreamInfo& aInfo) {
+      return aInfo.mState == UpstreamState::Ready;
+    };
+    const auto& replicas = entry->second;
+    if (std::any_of(replicas.begin(), replicas.end(), ready)) {
+      shards[entry->first.mMap].push_back(entry->first);
+      const KeyRange& range = replicas.front().mRange;
+      covered[entry->first.mMap] += range.mHigh - range.mLow;
+    }
+  }
+  for (auto map = covered.rbegin(); map != covered.rend(); ++map) {
+    if (map->second == kKeySpace) {
+      return shards[map->first];
+    }
+  }
+  return {};
+}
+
+// The newest version that the most shards offer.
+IndexVersion
+BestVersion(const Baseline& aBaseline, const std::map<ShardKey, ShardRun>& aShards)
+{
+  std::map<IndexVersion, std::uint32_t> offers;
+  for (const auto& [shard, run] : aShards) {
+    std::set<IndexVersion> versions;
+    const auto found = aBaseline.mReplicas.find(shard);
+    if (found == aBaseline.mReplicas.end()) {
+      continue;
+    }
+    for (const UpstreamInfo& info : found->second) {
+      if (info.mState == UpstreamState::Ready) {
+        versions.insert(info.mVersions.begin(), info.mVersions.end());
+      }
+    }
+    for (const IndexVersion version : versions) {
+      ++offers[version];
+    }
+  }
+  IndexVersion best = 0;
+  std::uint32_t most = 0;
+  for (const auto& [version, count] : offers) {
+    if (count >= most) {
+      most = count;
+      best = version;
+    }
+  }
+  return best;
+}
+
+void
+FinishQuery(Baseline& aBaseline, QueryId aQuery, TimePoint aNow, Actions& aActions)
+{
+  const auto node = aBaseline.mQueries.extract(aQuery);
+  RunningQuery& run = node.mapped().mRun;
+  aBaseline.mDeadlines.erase({ run.mDeadline, aQuery });
+  for (const AttemptId attempt : node.mapped().mLive) {
+    const auto live = aBaseline.mAttempts.extract(attempt);
+    aActions.emplace_back(CancelSub{ attempt, live.mapped().mAddress });
+  }
+  Answer answer;
+  answer.mQuery = aQuery;
+  answer.mSnapshot = run.mSnapshot;
+  answer.mElapsed = aNow - run.mArrived;
+  answer.mAttempts = run.mAttempts;
+  for (const auto& [shard, progress] : run.mShards) {
+    ++answer.mExpected;
+    if (progress.mProgress == ShardProgress::Answered) {
+      ++answer.mAnswered;
+    } else {
+      answer.mMissing.push_back({ shard, progress.mReason });
+    }
+  }
+  answer.mResult = answer.mMissing.empty()                 ? Result::Ok
+                   : answer.Coverage() >= run.mMinCoverage ? Result::PartialAnswer
+                                                           : Result::CoverageBelowMinimum;
+  if (answer.mResult != Result::CoverageBelowMinimum) {
+    answer.mItems = std::move(run.mItems);
+  }
+  aActions.emplace_back(Respond{ std::move(answer) });
+}
+
+void
+SendNext(Baseline& aBaseline,
+         BaselineQuery& aQuery,
+         const ShardKey& aShard,
+         TimePoint aNow,
+         Actions& aActions)
+{
+  RunningQuery& run = aQuery.mRun;
+  const auto found = aBaseline.mReplicas.find(aShard);
+  const std::size_t count = found == aBaseline.mReplicas.end() ? 0 : found->second.size();
+  for (std::size_t i = 0; i < count && aQuery.mTries[aShard] < kMaxTries; ++i) {
+    const UpstreamInfo& info = found->second[aBaseline.mNext[aShard]++ % count];
+    if (!Serves(info, run.mSnapshot.mVersion)) {
+      continue;
+    }
+    ++aQuery.mTries[aShard];
+    ++run.mAttempts;
+    const AttemptId attempt = aBaseline.mNextAttempt++;
+    aQuery.mLive.insert(attempt);
+    aBaseline.mAttempts[attempt] = { run.mRequest.mId, aShard, info.mAddress };
+    aActions.emplace_back(SendSub{ attempt,
+                                   run.mRequest.mId,
+                                   info.mId,
+                                   info.mAddress,
+                                   aShard,
+                                   run.mSnapshot.mVersion,
+                                   run.mBody,
+                                   run.mDeadline - aNow });
+    return;
+  }
+  ShardRun& shard = run.mShards.at(aShard);
+  shard.mProgress = ShardProgress::Missing;
+  shard.mReason = MissingReason::Failed;
+  --run.mOpenShards;
+}
+
+} // namespace
+
+void
+SetUpstreams(Baseline& aBaseline, const std::vector<UpstreamInfo>& aUpstreams)
+{
+  aBaseline.mReplicas.clear();
+  for (const UpstreamInfo& info : aUpstreams) {
+    aBaseline.mReplicas[{ info.mService, info.mMap, info.mShard }].push_back(info);
+  }
+}
+
+void
+SubmitQuery(Baseline& aBaseline, QueryRequest aRequest, TimePoint aNow, Actions& aActions)
+{
+  const CollectionPolicy& collection = aBaseline.mConfig->mCollections.at(aRequest.mCollection);
+  const ClassPolicy& policy = aBaseline.mConfig->mClasses.at(aRequest.mClass);
+  const QueryId id = aRequest.mId;
+  BaselineQuery& query = aBaseline.mQueries[id];
+  RunningQuery& run = query.mRun;
+  run.mClass = policy;
+  run.mMinCoverage = policy.mMinCoverage;
+  run.mArrived = aNow;
+  run.mDeadline = aNow + policy.mDeadline;
+  run.mBody = std::make_shared<const std::string>(aRequest.mQuery);
+  run.mRequest = std::move(aRequest);
+  for (const std::string& service : collection.mServices) {
+    const std::vector<ShardKey> shards = NewestMap(aBaseline, service);
+    for (const ShardKey& shard : shards) {
+      run.mShards[shard];
+      run.mSnapshot.mMaps[service] = shard.mMap;
+    }
+    if (shards.empty()) {
+      run.mShards[{ service, 0, 0 }].mReason = MissingReason::NotAnnounced;
+    }
+  }
+  run.mSnapshot.mVersion = BestVersion(aBaseline, run.mShards);
+  run.mOpenShards = static_cast<std::uint32_t>(run.mShards.size());
+  aBaseline.mDeadlines.emplace(run.mDeadline, id);
+  for (const auto& [shard, progress] : run.mShards) {
+    SendNext(aBaseline, query, shard, aNow, aActions);
+  }
+  if (run.mOpenShards == 0) {
+    FinishQuery(aBaseline, id, aNow, aActions);
+  }
+}
+
+void
+OnReply(Baseline& aBaseline, SubReply aReply, TimePoint aNow, Actions& aActions)
+{
+  const auto found = aBaseline.mAttempts.find(aReply.mAttempt);
+  if (found == aBaseline.mAttempts.end()) {
+    return;
+  }
+  BaselineQuery& query = aBaseline.mQueries.at(found->second.mQuery);
+  RunningQuery& run = query.mRun;
+  if (aReply.mShard != found->second.mShard || aReply.mVersion != run.mSnapshot.mVersion) {
+    OnFailure(aBaseline, { aReply.mAttempt, FailureKind::BadReply, {} }, aNow, aActions);
+    return;
+  }
+  const QueryId id = found->second.mQuery;
+  aBaseline.mAttempts.erase(found);
+  query.mLive.erase(aReply.mAttempt);
+  run.mShards.at(aReply.mShard).mProgress = ShardProgress::Answered;
+  std::move(aReply.mItems.begin(), aReply.mItems.end(), std::back_inserter(run.mItems));
+  if (--run.mOpenShards == 0) {
+    FinishQuery(aBaseline, id, aNow, aActions);
+  }
+}
+
+void
+OnFailure(Baseline& aBaseline, const SubFailure& aFailure, TimePoint aNow, Actions& aActions)
+{
+  const auto node = aBaseline.mAttempts.extract(aFailure.mAttempt);
+  if (node.empty()) {
+    return;
+  }
+  BaselineQuery& query = aBaseline.mQueries.at(node.mapped().mQuery);
+  query.mLive.erase(aFailure.mAttempt);
+  if (!query.mRun.mClass.mRepeatable && MayHaveStarted(aFailure.mKind)) {
+    query.mTries[node.mapped().mShard] = kMaxTries;
+  }
+  SendNext(aBaseline, query, node.mapped().mShard, aNow, aActions);
+  if (query.mRun.mOpenShards == 0) {
+    FinishQuery(aBaseline, node.mapped().mQuery, aNow, aActions);
+  }
+}
+
+void
+OnTimer(Baseline& aBaseline, TimePoint aNow, Actions& aActions)
+{
+  while (!aBaseline.mDeadlines.empty() && aBaseline.mDeadlines.begin()->first <= aNow) {
+    FinishQuery(aBaseline, aBaseline.mDeadlines.begin()->second, aNow, aActions);
+  }
+}
+
+std::optional<TimePoint>
+NextTimer(const Baseline& aBaseline)
+{
+  if (aBaseline.mDeadlines.empty()) {
+    return std::nullopt;
+  }
+  return aBaseline.mDeadlines.begin()->first;
+}
+
+} // namespace apricotyard
