Replicate the control state and wire it to entry hosts and operators

Cause: control kept one document in a file; there was no merge, no audit, no lease, no claim and no roster.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -51,6 +51,7 @@
 host = "entry-$n"
 data_centre = "${centres[(n - 1) % 3]}"
 address = "${entry_http[n - 1]}"
+peer_address = "127.$net.2.$n:7201"
 control = $(toml_list "${control_rpc[@]}")
 TOML
     start_process "entry-$n" apricot-entry
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -4,3 +4,5 @@
 cd "$(dirname "$0")/.."
 protoc -Iproto --cpp_out=gen --grpc_out=gen \
   --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" proto/*.proto
+# command.proto has no services.
+rm -f gen/command.grpc.pb.*
--- a/src/control_server.cpp
+++ b/src/control_server.cpp
@@ -1,179 +1,137 @@
 #include "control_server.h"
 
+#include "admin.h"
 #include "cmdline.h"
-#include "config.h"
 #include "control.grpc.pb.h"
-#include "http_server.h"
+#include "control_core.h"
+#include "local_log.h"
 #include "log.h"
-#include "loop.h"
 
-#include <cerrno>
-#include <cstdio>
-#include <cstring>
-#include <filesystem>
+#include <set>
+#include <thread>
+#include <utility>
 
-#include <fcntl.h>
-#include <fmt/format.h>
 #include <grpcpp/grpcpp.h>
-#include <nlohmann/json.hpp>
-#include <unistd.h>
 
 namespace apricotyard {
 
 namespace {
 
-constexpr std::size_t kMaxDocument = std::size_t{ 1024 } * 1024;
+// Messages of the entry hosts are small; the largest reply holds one document.
+constexpr int kMaxRpcMessage = 64 * 1024;
+constexpr std::chrono::milliseconds kShutdownGrace{ 500 };
 
-struct HeldConfig
+// The one place that chooses the log.
+Expected<std::unique_ptr<ReplicatedLog>>
+OpenLog(Loop& aLoop, const ControlSettings& aSettings, StateMachine aMachine)
 {
-  Revision mRevision = 0;
-  std::string mDocument;
-};
+  const LogMember self{ aSettings.mHost, aSettings.mRpcAddress, MemberRole::Voter };
+  return OpenLocalLog(aLoop, aSettings.mDataFolder, self, std::move(aMachine));
+}
 
-// Writes aText to a new file, syncs it, renames it over aPath and syncs the folder.
-Expected<void>
-WriteDurably(const std::filesystem::path& aPath, const std::string& aText)
+// A call that the loop has not finished yet. Only on the loop's thread after it was posted.
+template<typename Reply>
+struct OpenCall
 {
-  const std::filesystem::path temporary = aPath.string() + ".new";
-  const int fd = open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-  bool good = fd >= 0;
-  std::size_t done = 0;
-  while (good && done < aText.size()) {
-    const ssize_t written = write(fd, aText.data() + done, aText.size() - done);
-    good = written > 0;
-    done += good ? static_cast<std::size_t>(written) : 0;
-  }
-  good = good && fsync(fd) == 0;
-  if (fd >= 0) {
-    close(fd);
-  }
-  good = good && std::rename(temporary.c_str(), aPath.c_str()) == 0;
-  const int folder = open(aPath.parent_path().c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  good = good && folder >= 0 && fsync(folder) == 0;
-  if (folder >= 0) {
-    close(folder);
-  }
-  if (!good) {
-    return Fail(Result::Internal,
-                fmt::format("cannot write {}: {}", aPath.string(), std::strerror(errno)));
-  }
-  return {};
-}
+  grpc::ServerUnaryReactor* mReactor = nullptr;
+  // Valid until the call is finished.
+  Reply* mReply = nullptr;
+};
 
-// The configuration, shared between the administration thread and the control service.
-class ConfigStore
+// Passes each call to the loop, which finishes it.
+class ControlService final : public rpc::Control::CallbackService
 {
 public:
-  explicit ConfigStore(const std::string& aFolder)
-    : mPath(std::filesystem::path(aFolder) / "config")
+  ControlService(Loop& aLoop, ControlCore& aCore)
+    : mLoop(aLoop)
+    , mCore(aCore)
   {
   }
 
-  Expected<void> Load()
+  // Finishes the calls that wait for a log which may never answer. Only on the loop's thread.
+  void AbandonCalls()
   {
-    std::error_code error;
-    std::filesystem::create_directories(mPath.parent_path(), error);
-    if (!std::filesystem::exists(mPath)) {
-      return {};
-    }
-    const auto text = ReadFile(mPath.string(), kMaxDocument + 64);
-    if (!text) {
-      return tl::unexpected(text.error());
+    for (grpc::ServerUnaryReactor* const reactor : std::exchange(mOpen, {})) {
+      reactor->Finish({ grpc::StatusCode::UNAVAILABLE, "the control host is stopping" });
     }
-    const std::size_t newline = text->find('\n');
-    absl::MutexLock lock(&mMutex);
-    mHeld.mRevision = std::strtoull(text->c_str(), nullptr, 10);
-    mHeld.mDocument = text->substr(newline + 1);
-    return {};
   }
 
-  HeldConfig Held() const
+  grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* aContext,
+                                 const rpc::SyncRequest* aRequest,
+                                 rpc::SyncReply* aReply) override
   {
-    absl::MutexLock lock(&mMutex);
-    return mHeld;
+    return Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::SyncReply>& aCall) {
+      auto reply = mCore.Sync(*aRequest, SteadyNow());
+      if (reply) {
+        Finish(aCall, *reply, grpc::Status::OK);
+      } else {
+        Finish(aCall, {}, { grpc::StatusCode::INVALID_ARGUMENT, reply.error().mMessage });
+      }
+    });
+  }
+
+  grpc::ServerUnaryReactor* MakeClaim(grpc::CallbackServerContext* aContext,
+                                      const rpc::Claim* aRequest,
+                                      rpc::ClaimReply* aReply) override
+  {
+    return Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::ClaimReply>& aCall) {
+      mCore.Claim(*aRequest, Finisher(aCall));
+    });
   }
 
-  Expected<Revision> Accept(const std::string& aDocument)
+  grpc::ServerUnaryReactor* RecordOutcome(grpc::CallbackServerContext* aContext,
+                                          const rpc::ClaimOutcome* aRequest,
+                                          rpc::ClaimReply* aReply) override
   {
-    absl::MutexLock lock(&mMutex);
-    const Revision next = mHeld.mRevision + 1;
-    if (auto written = WriteDurably(mPath, fmt::format("{}\n{}", next, aDocument)); !written) {
-      return tl::unexpected(written.error());
-    }
-    mHeld = { next, aDocument };
-    return next;
+    return Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::ClaimReply>& aCall) {
+      mCore.Record(*aRequest, Finisher(aCall));
+    });
   }
 
-private:
-  std::filesystem::path mPath;
-  mutable absl::Mutex mMutex;
-  HeldConfig mHeld;
-};
-
-class ControlService final : public rpc::Control::Service
-{
-public:
-  explicit ControlService(ConfigStore& aStore)
-    : mStore(aStore)
+  grpc::ServerUnaryReactor* ReportQuarantine(grpc::CallbackServerContext* aContext,
+                                             const rpc::Quarantine* aRequest,
+                                             rpc::ClaimReply* aReply) override
   {
+    return Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::ClaimReply>& aCall) {
+      mCore.Quarantine(*aRequest, Finisher(aCall));
+    });
   }
 
-  grpc::Status Sync(grpc::ServerContext* /*aContext*/,
-                    const rpc::SyncRequest* aRequest,
-                    rpc::SyncReply* aReply) override
+private:
+  template<typename Reply, typename Work>
+  grpc::ServerUnaryReactor* Pass(grpc::CallbackServerContext* aContext, Reply* aReply, Work aWork)
   {
-    const HeldConfig held = mStore.Held();
-    aReply->set_revision(held.mRevision);
-    if (held.mRevision > aRequest->revision()) {
-      aReply->set_document(held.mDocument);
+    grpc::ServerUnaryReactor* const reactor = aContext->DefaultReactor();
+    const bool posted = mLoop.Post([this, reactor, aReply, work = std::move(aWork)] {
+      mOpen.insert(reactor);
+      work(OpenCall<Reply>{ reactor, aReply });
+    });
+    if (!posted) {
+      reactor->Finish({ grpc::StatusCode::RESOURCE_EXHAUSTED, "too many messages are waiting" });
     }
-    return grpc::Status::OK;
+    return reactor;
   }
 
-private:
-  ConfigStore& mStore;
-};
-
-void
-HandleSubmit(ConfigStore& aStore, const HttpRequest& aRequest, const HttpResponder& aRespond)
-{
-  const ConfigResult parsed = ParseConfig("document", aRequest.mBody);
-  if (!parsed.mProblems.empty()) {
-    nlohmann::json problems = nlohmann::json::array();
-    for (const SettingsProblem& problem : parsed.mProblems) {
-      problems.push_back(
-        { { "line", problem.mLine }, { "key", problem.mKey }, { "message", problem.mMessage } });
+  // Has no effect on a call that was abandoned.
+  template<typename Reply>
+  void Finish(const OpenCall<Reply>& aCall, const Reply& aReply, const grpc::Status& aStatus)
+  {
+    if (mOpen.erase(aCall.mReactor) != 0) {
+      *aCall.mReply = aReply;
+      aCall.mReactor->Finish(aStatus);
     }
-    LogEvent(Event::ConfigurationRefused, { { "problems", parsed.mProblems.size() } });
-    aRespond({ 400, nlohmann::json{ { "problems", problems } }.dump() });
-    return;
   }
-  const auto revision = aStore.Accept(aRequest.mBody);
-  if (!revision) {
-    aRespond(ErrorResponse(revision.error().mResult, revision.error().mMessage));
-    return;
-  }
-  LogEvent(Event::ConfigurationAccepted, { { "revision", *revision } });
-  aRespond({ 200, fmt::format(R"({{"revision":{}}})", *revision) });
-}
 
-void
-HandleAdmin(ConfigStore& aStore, const HttpRequest& aRequest, const HttpResponder& aRespond)
-{
-  if (aRequest.mPath != "/v1/admin/config") {
-    aRespond(ErrorResponse(Result::NotFound, "no such path"));
-  } else if (aRequest.mMethod == "POST") {
-    HandleSubmit(aStore, aRequest, aRespond);
-  } else if (aRequest.mMethod == "GET") {
-    const HeldConfig held = aStore.Held();
-    aRespond({ 200,
-               fmt::format(R"({{"revision":{},"document":{}}})",
-                           held.mRevision,
-                           JsonQuote(held.mDocument)) });
-  } else {
-    aRespond(ErrorResponse(Result::MethodNotAllowed, "use GET or POST"));
+  ControlCore::ClaimHandler Finisher(const OpenCall<rpc::ClaimReply>& aCall)
+  {
+    return
+      [this, aCall](const rpc::ClaimReply& aReply) { Finish(aCall, aReply, grpc::Status::OK); };
   }
-}
+
+  Loop& mLoop;
+  ControlCore& mCore;
+  std::set<grpc::ServerUnaryReactor*> mOpen;
+};
 
 } // namespace
 
@@ -191,37 +149,58 @@
 RunControl(const ControlSettings& aSettings)
 {
   Loop loop;
-  HandleStopSignals(loop, nullptr);
+  rpc::ControlHost self;
+  self.set_id(aSettings.mHost);
+  self.set_admin_address(FormatSocketAddress(aSettings.mAdminAddress));
+  self.set_rpc_address(FormatSocketAddress(aSettings.mRpcAddress));
+  ControlCore core(loop, self);
+  ControlService service(loop, core);
+  std::unique_ptr<grpc::Server> rpcServer;
+  std::thread stopper;
+  HandleStopSignals(loop, [&] {
+    // The loop goes on until every call has been finished, because the calls wait for it.
+    if (!stopper.joinable()) {
+      loop.AddPeriodic(kShutdownGrace, [&] { service.AbandonCalls(); });
+      stopper = std::thread([&] {
+        rpcServer->Shutdown(std::chrono::system_clock::now() + kShutdownGrace);
+        loop.Stop();
+      });
+    }
+  });
   StartLogger("apricot-control", aSettings.mLogLevel);
-  ConfigStore store(aSettings.mDataFolder);
   std::string failure;
-  if (const auto loaded = store.Load(); !loaded) {
-    failure = loaded.error().mMessage;
+  auto log = OpenLog(loop, aSettings, core.Machine());
+  if (!log) {
+    failure = log.error().mMessage;
+  } else {
+    core.Start(*std::move(log));
   }
   auto server = HttpServer::Builder(loop, aSettings.mAdminAddress)
-                  .MaxBody(kMaxDocument)
-                  .OnRequest([&store](const HttpRequest& aRequest, const HttpResponder& aRespond) {
-                    HandleAdmin(store, aRequest, aRespond);
+                  .MaxBody(kMaxAdminBody)
+                  .OnRequest([&core](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+                    HandleAdmin(core, aRequest, aRespond);
                   })
                   .Start();
   if (!server) {
     failure = server.error().mMessage;
   }
-  ControlService service(store);
   grpc::ServerBuilder builder;
   int port = 0;
+  builder.SetMaxReceiveMessageSize(kMaxRpcMessage);
   builder.AddListeningPort(
     FormatSocketAddress(aSettings.mRpcAddress), grpc::InsecureServerCredentials(), &port);
   builder.RegisterService(&service);
-  const std::unique_ptr<grpc::Server> rpcServer = builder.BuildAndStart();
-  if (rpcServer == nullptr || port == 0) {
-    failure = "cannot listen on " + FormatSocketAddress(aSettings.mRpcAddress);
+  if (failure.empty()) {
+    rpcServer = builder.BuildAndStart();
+    if (rpcServer == nullptr || port == 0) {
+      failure = "cannot listen on " + FormatSocketAddress(aSettings.mRpcAddress);
+    }
   }
   if (failure.empty()) {
     LogEvent(Event::ProcessStarted,
-             { { "host", aSettings.mHost }, { "revision", store.Held().mRevision } });
+             { { "host", aSettings.mHost }, { "revision", NewestRevision(core.State()) } });
     loop.Run();
-    rpcServer->Shutdown();
+    stopper.join();
     LogEvent(Event::ProcessStopped, { { "host", aSettings.mHost } });
   } else {
     LogEvent(Event::StartFailed, { { "reason", failure } });
--- a/src/ctl.cpp
+++ b/src/ctl.cpp
@@ -1,82 +1,76 @@
 // apricotctl: the operator's command line.
 #include "cmdline.h"
-#include "config.h"
-#include "http_client.h"
-#include "tables.h"
+#include "ctl_commands.h"
 
-#include <cstdio>
-#include <string>
-#include <vector>
+#include <cstdlib>
+#include <utility>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <popt.h>
 
 using namespace apricotyard;
 
 namespace {
 
-constexpr std::size_t kMaxDocument = std::size_t{ 1024 } * 1024;
-constexpr Duration kCallTimeout = std::chrono::seconds(10);
+// Keys of options that may be given several times, or that are parsed here.
+enum OptionKey : int
+{
+  ControlOption = 1,
+  LogOption,
+  TimeoutOption,
+};
+
+constexpr std::size_t kMaxKeyFile = 4096;
+constexpr Duration kMaxTimeout = std::chrono::minutes(10);
 
-// Makes one call to the administration API and waits for its reply.
-ClientReply
-Call(const SocketAddress& aAddress, std::string aMethod, std::string aPath, std::string aBody)
+std::string
+Environment(const char* aName)
 {
-  Loop loop;
-  HttpClient client(loop, "", 1);
-  ClientRequest request;
-  request.mMethod = std::move(aMethod);
-  request.mAddress = aAddress;
-  request.mPath = std::move(aPath);
-  request.mBody = std::move(aBody);
-  request.mTimeout = kCallTimeout;
-  ClientReply result;
-  client.Send(std::move(request), [&](ClientReply aReply) {
-    result = std::move(aReply);
-    loop.Stop();
-  });
-  loop.Run();
-  return result;
+  const char* const value = std::getenv(aName);
+  return value != nullptr ? value : "";
 }
 
-int
-ConfigValidate(const std::string& aFile)
+// Reads the key from its file, without the line end. Keys are not taken from the command line,
+// where every user of the machine can see them.
+bool
+ReadKey(const std::string& aFile, std::string& aKey)
 {
-  const auto text = ReadFile(aFile, kMaxDocument);
-  if (!text) {
-    fmt::print(stderr, "{}\n", text.error().mMessage);
-    return kExitFailure;
-  }
-  const ConfigResult parsed = ParseConfig(aFile, *text);
-  for (const SettingsProblem& problem : parsed.mProblems) {
-    fmt::print(stderr, "{}\n", FormatProblem(problem));
+  if (aFile.empty()) {
+    return true;
   }
-  if (!parsed.mProblems.empty()) {
-    return kExitFailure;
+  const auto text = ReadFile(aFile, kMaxKeyFile);
+  if (!text) {
+    fmt::print(stderr, "error: {}\n", text.error().mMessage);
+    return false;
   }
-  fmt::print("{}: the configuration is valid\n", aFile);
-  return kExitOk;
+  aKey = text->substr(0, text->find_first_of("\r\n"));
+  return true;
 }
 
-int
-ConfigSubmit(const SocketAddress& aControl, const std::string& aFile)
+// Takes one occurrence of an option that popt returns to the loop.
+bool
+TakeOption(int aKey, const std::string& aText, CtlOptions& aOptions)
 {
-  const auto text = ReadFile(aFile, kMaxDocument);
-  if (!text) {
-    fmt::print(stderr, "{}\n", text.error().mMessage);
-    return kExitFailure;
+  if (aKey == LogOption) {
+    aOptions.mLogs.push_back(aText);
+    return true;
+  }
+  if (aKey == TimeoutOption) {
+    const auto timeout = ParseDuration(aText);
+    if (!timeout || *timeout <= Duration::zero() || *timeout > kMaxTimeout) {
+      fmt::print(stderr, "error: --timeout must be a duration such as 10s, at most 10m\n");
+      return false;
+    }
+    aOptions.mTarget.mTimeout = *timeout;
+    return true;
   }
-  const ClientReply reply = Call(aControl, "POST", "/v1/admin/config", *text);
-  if (reply.mEnd != TransferEnd::Complete) {
-    fmt::print(stderr,
-               "no answer from {}: {}; the outcome is unknown\n",
-               FormatSocketAddress(aControl),
-               reply.mMessage);
-    return kExitFailure;
+  const auto address = ParseSocketAddress(aText);
+  if (!address) {
+    fmt::print(stderr, "error: --control: {}\n", address.error().mMessage);
+    return false;
   }
-  fmt::print("{}\n", reply.mBody);
-  return reply.mStatus == 200 ? kExitOk : kExitFailure;
+  aOptions.mTarget.mAddresses.push_back(*address);
+  return true;
 }
 
 } // namespace
@@ -84,47 +78,128 @@
 int
 main(int argc, char** argv)
 {
-  char* control = nullptr;
-  int version = 0;
+  CtlOptions options;
+  char* occurrence = nullptr;
+  char* keyFile = nullptr;
+  char* author = nullptr;
+  char* reason = nullptr;
+  char* base = nullptr;
+  char* submission = nullptr;
+  int flags[5] = {};
+  long limit = 50;
+  long count = 0;
   const poptOption table[] = {
     { "control",
       'c',
       POPT_ARG_STRING,
-      static_cast<void*>(&control),
-      0,
-      "administration address of a control host",
+      &occurrence,
+      ControlOption,
+      "administration address of a control host; repeatable, tried in turn",
       "IP:PORT" },
-    { "version", 0, POPT_ARG_NONE, &version, 0, "print the version and exit", nullptr },
+    { "key-file",
+      0,
+      POPT_ARG_STRING,
+      &keyFile,
+      0,
+      "file with the team key; default $APRICOT_KEY_FILE",
+      "FILE" },
+    { "author", 0, POPT_ARG_STRING, &author, 0, "who makes the change; default $USER", "NAME" },
+    { "reason",
+      'm',
+      POPT_ARG_STRING,
+      &reason,
+      0,
+      "why the change is made, for the audit log",
+      "TEXT" },
+    { "base",
+      0,
+      POPT_ARG_STRING,
+      &base,
+      0,
+      "revision that the document is based on, or newest",
+      "N" },
+    { "submission",
+      0,
+      POPT_ARG_STRING,
+      &submission,
+      0,
+      "submission id of an earlier attempt",
+      "ID" },
+    { "timeout",
+      0,
+      POPT_ARG_STRING,
+      &occurrence,
+      TimeoutOption,
+      "time for a call with its repetitions; default 10s",
+      "TIME" },
+    { "log",
+      0,
+      POPT_ARG_STRING,
+      &occurrence,
+      LogOption,
+      "log file for explain; repeatable",
+      "FILE" },
+    { "limit", 0, POPT_ARG_LONG, &limit, 0, "entries of a list; default 50", "N" },
+    { "count", 0, POPT_ARG_LONG, &count, 0, "rounds of watch; default no end", "N" },
+    { "json", 0, POPT_ARG_NONE, &flags[0], 0, "print JSON", nullptr },
+    { "yes", 0, POPT_ARG_NONE, &flags[1], 0, "confirm what can do harm", nullptr },
+    { "dry-run", 0, POPT_ARG_NONE, &flags[2], 0, "show what would change", nullptr },
+    { "wait",
+      0,
+      POPT_ARG_NONE,
+      &flags[3],
+      0,
+      "wait until the revision is in force, 10 s at most",
+      nullptr },
+    { "version", 0, POPT_ARG_NONE, &flags[4], 0, "print the version and exit", nullptr },
     POPT_AUTOHELP POPT_TABLEEND
   };
   poptContext context = poptGetContext(nullptr, argc, const_cast<const char**>(argv), table, 0);
-  poptSetOtherOptionHelp(context, "[OPTION...] config validate FILE | config submit FILE");
-  const int rc = poptGetNextOpt(context);
+  const std::string summary = CommandSummary();
+  poptSetOtherOptionHelp(context, summary.c_str());
+  bool good = true;
+  int rc = 0;
+  while (good && (rc = poptGetNextOpt(context)) > 0) {
+    good = TakeOption(rc, occurrence, options);
+    free(std::exchange(occurrence, nullptr));
+  }
   std::vector<std::string> words;
   while (const char* const word = poptGetArg(context)) {
     words.emplace_back(word);
   }
-  int exitCode = kExitUsage;
-  const auto address = ParseSocketAddress(control != nullptr ? control : "");
   if (rc < -1) {
-    fmt::print(stderr, "{}: {}\n", poptBadOption(context, 0), poptStrerror(rc));
-  } else if (version != 0) {
+    fmt::print(stderr, "error: {}: {}\n", poptBadOption(context, 0), poptStrerror(rc));
+    good = false;
+  }
+  if (limit < 0 || count < 0) {
+    fmt::print(stderr, "error: --limit and --count must not be negative\n");
+    good = false;
+  }
+  const auto text = [](const char* aValue, const std::string& aDefault) {
+    return aValue != nullptr ? std::string(aValue) : aDefault;
+  };
+  const std::string user = Environment("USER");
+  options.mAuthor = text(author, user.empty() ? "unknown" : user);
+  options.mReason = text(reason, "no reason given");
+  options.mBase = text(base, "");
+  options.mSubmission = text(submission, "");
+  options.mLimit = static_cast<std::uint64_t>(limit);
+  options.mCount = static_cast<std::uint64_t>(count);
+  options.mJson = flags[0] != 0;
+  options.mYes = flags[1] != 0;
+  options.mDryRun = flags[2] != 0;
+  options.mWait = flags[3] != 0;
+  good = good && ReadKey(text(keyFile, Environment("APRICOT_KEY_FILE")), options.mTarget.mKey);
+  int exitCode = kExitUsage;
+  if (flags[4] != 0) {
     fmt::print("{}\n", kVersion);
     exitCode = kExitOk;
-  } else if (words.size() == 2 && words[0] == "docs" && words[1] == "results") {
-    fmt::print("{}", ResultsPage());
-    exitCode = kExitOk;
-  } else if (words.size() == 2 && words[0] == "docs" && words[1] == "events") {
-    fmt::print("{}", EventsPage());
-    exitCode = kExitOk;
-  } else if (words.size() == 3 && words[0] == "config" && words[1] == "validate") {
-    exitCode = ConfigValidate(words[2]);
-  } else if (words.size() == 3 && words[0] == "config" && words[1] == "submit" && address) {
-    exitCode = ConfigSubmit(*address, words[2]);
-  } else {
-    fmt::print(stderr, "unknown command, or --control IP:PORT is missing; see --help\n");
+  } else if (good) {
+    exitCode = RunCommand(options, words);
   }
   poptFreeContext(context);
-  free(control);
+  for (char* const value : { keyFile, author, reason, base, submission }) {
+    free(value);
+  }
   return exitCode;
 }
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -11,6 +11,7 @@
 #include "metrics.h"
 
 #include <fmt/format.h>
+#include <grpcpp/grpcpp.h>
 #include <nlohmann/json.hpp>
 
 namespace apricotyard {
@@ -84,6 +85,7 @@
   void ArmTimer();
   void CheckLeases();
   void AdoptConfig(const ConfigUpdate& aUpdate);
+  std::unique_ptr<grpc::Server> StartPeerServer(grpc::Service& aWitness);
   void BeginStop();
   void FinishStop();
 
@@ -104,6 +106,8 @@
   QueryId mNextQuery = 1;
   TimerId mTimer = 0;
   std::optional<TimePoint> mTimerAt;
+  // Null until the contact with control begins.
+  ControlClient* mControl = nullptr;
   bool mStopping = false;
   TimePoint mStopAt;
   TimePoint mStopLimit;
@@ -142,16 +146,27 @@
   mServer = *std::move(server);
   mLoop.AddPeriodic(kLeaseCheckInterval, [this] { CheckLeases(); });
   {
-    const ControlClient control(
-      mLoop,
-      { mSettings.mHost, mIncarnation, mSettings.mDataCentre, mSettings.mAddress },
-      mSettings.mControl,
-      [this](const ConfigUpdate& aUpdate) { AdoptConfig(aUpdate); });
+    ControlClient control(mLoop,
+                          { mSettings.mHost,
+                            mIncarnation,
+                            mSettings.mDataCentre,
+                            mSettings.mAddress,
+                            mSettings.mPeerAddress },
+                          mSettings.mControl,
+                          [this](const ConfigUpdate& aUpdate) { AdoptConfig(aUpdate); });
+    mControl = &control;
+    const std::unique_ptr<grpc::Service> witness = control.MakeWitnessService();
+    const std::unique_ptr<grpc::Server> peerServer = StartPeerServer(*witness);
     LogEvent(Event::ProcessStarted,
              { { "host", mSettings.mHost },
                { "address", FormatSocketAddress(mSettings.mAddress) },
                { "incarnation", mIncarnation } });
     mLoop.Run();
+    mControl = nullptr;
+    if (peerServer != nullptr) {
+      // Without this deadline the server would wait for calls that the stopped loop cannot answer.
+      peerServer->Shutdown(std::chrono::system_clock::now());
+    }
   }
   mServer.reset();
   LogEvent(Event::ProcessStopped, { { "host", mSettings.mHost } });
@@ -200,6 +215,10 @@
     aRespond(ErrorResponse(Result::Stopping, "the host is stopping"));
     return;
   }
+  if (mControl != nullptr && mEngine.mConfig != nullptr && !mControl->MayServe()) {
+    aRespond(ErrorResponse(Result::NotCurrent, "the control lease and the witness lease ended"));
+    return;
+  }
   auto request = DecodeQuery(aRequest.mBody);
   if (!request) {
     aRespond(ErrorResponse(request.error().mResult, request.error().mMessage));
@@ -392,13 +411,30 @@
 void
 EntryServer::AdoptConfig(const ConfigUpdate& aUpdate)
 {
-  ConfigResult parsed =
-    ParseConfig(fmt::format("revision {}", aUpdate.mRevision), aUpdate.mDocument);
-  parsed.mConfig.mRevision = aUpdate.mRevision;
-  SetConfig(mEngine, std::make_shared<const Config>(std::move(parsed.mConfig)));
+  SetConfig(mEngine, std::make_shared<const Config>(aUpdate.mConfig));
   LogEvent(Event::ConfigurationAdopted, { { "revision", aUpdate.mRevision } });
 }
 
+// Null if the settings name no peer address.
+std::unique_ptr<grpc::Server>
+EntryServer::StartPeerServer(grpc::Service& aWitness)
+{
+  if (mSettings.mPeerAddress.mPort == 0) {
+    return nullptr;
+  }
+  grpc::ServerBuilder builder;
+  builder.AddListeningPort(FormatSocketAddress(mSettings.mPeerAddress),
+                           grpc::InsecureServerCredentials());
+  builder.RegisterService(&aWitness);
+  auto server = builder.BuildAndStart();
+  if (server == nullptr) {
+    LogEvent(Event::StartFailed,
+             { { "reason", "cannot listen on " + FormatSocketAddress(mSettings.mPeerAddress) } });
+    mLoop.Stop();
+  }
+  return server;
+}
+
 void
 EntryServer::BeginStop()
 {
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -10,6 +10,7 @@
   aReader.Text("host", Presence::Required, 1, 64, aSettings.mHost);
   aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
   aReader.Address("address", Presence::Required, aSettings.mAddress);
+  aReader.Address("peer_address", Presence::Optional, aSettings.mPeerAddress);
   aReader.AddressList("control", Presence::Required, aSettings.mControl);
   if (aReader.Has("control") && aSettings.mControl.empty()) {
     aReader.Problem("control", "at least one control host is needed");
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -13,6 +13,8 @@
   std::string mDataCentre;
   // Where callers and upstreams connect.
   SocketAddress mAddress;
+  // Where other entry hosts connect; port 0 if there is no peer service.
+  SocketAddress mPeerAddress;
   std::vector<SocketAddress> mControl;
   std::int64_t mMaxConnections = 2000;
   LogLevel mLogLevel = LogLevel::Info;
