--- /dev/null
+++ b/src/address_answer.cpp
@@ -0,0 +1,80 @@
+#include "address_answer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace apricotyard {
+
+namespace {
+
+struct Ranked
+{
+  bool mRemote = false;
+  double mKey = 0;
+  AddressHost mHost;
+};
+
+// Weighted random order: the key of a host is exponential with the rate of its weight (Efraimidis
+// and Spirakis, "Weighted random sampling with a reservoir", 2006).
+double
+OrderKey(std::uint64_t aLoad, Rng& aRng)
+{
+  const double uniform = (static_cast<double>(aRng() >> 11U) + 1.0) * 0x1.0p-53;
+  return -std::log(uniform) * (1.0 + static_cast<double>(aLoad));
+}
+
+} // namespace
+
+std::vector<AddressHost>
+ChooseAddresses(const std::vector<AddressHost>& aHosts,
+                const std::set<std::string>& aHomes,
+                const std::string& aDataCentre,
+                Rng& aRng)
+{
+  const bool anyHome = std::any_of(aHosts.begin(), aHosts.end(), [&](const AddressHost& aHost) {
+    return aHost.mServing && aHomes.contains(aHost.mName);
+  });
+  std::vector<Ranked> ranked;
+  for (const AddressHost& host : aHosts) {
+    if (host.mServing && (!anyHome || aHomes.contains(host.mName))) {
+      ranked.push_back({ host.mDataCentre != aDataCentre, OrderKey(host.mLoad, aRng), host });
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
+    return std::tie(aLeft.mRemote, aLeft.mKey, aLeft.mHost.mName) <
+           std::tie(aRight.mRemote, aRight.mKey, aRight.mHost.mName);
+  });
+  if (ranked.size() > kMaxAddresses) {
+    const auto remote = std::find_if(
+      ranked.begin(), ranked.end(), [](const Ranked& aHost) { return aHost.mRemote; });
+    // A caller keeps an address elsewhere for the loss of its own data centre.
+    if (remote >= ranked.begin() + kMaxAddresses && remote != ranked.end()) {
+      std::iter_swap(ranked.begin() + kMaxAddresses - 1, remote);
+    }
+    ranked.resize(kMaxAddresses);
+  }
+  std::vector<AddressHost> chosen;
+  for (Ranked& host : ranked) {
+    chosen.push_back(std::move(host.mHost));
+  }
+  return chosen;
+}
+
+std::optional<AddressHost>
+ChooseForward(const std::vector<AddressHost>& aHosts,
+              const std::set<std::string>& aHomes,
+              const std::string& aSelf,
+              const std::string& aDataCentre,
+              Rng& aRng)
+{
+  if (aHomes.contains(aSelf)) {
+    return std::nullopt;
+  }
+  const std::vector<AddressHost> chosen = ChooseAddresses(aHosts, aHomes, aDataCentre, aRng);
+  if (chosen.empty() || !aHomes.contains(chosen.front().mName)) {
+    return std::nullopt;
+  }
+  return chosen.front();
+}
+
+} // namespace apricotyard
