Connect discovery to the entry host and announce to one entry host

Cause: upstreams announced to every entry host, and a host answered addresses with itself only. Change: DiscoveryNode connects directory, gossip, failure detector, shares and address answer to the loop and to the Peer service; queries are forwarded to a home host with one hop at most; the stand-in announces to one entry host and moves when it fails. peers and peer_address are new settings. Conclusion: the share hook waits for the engine; the roster comes from the settings until control sends it.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -11,6 +11,7 @@
 control_admin=()
 control_rpc=()
 entry_http=()
+entry_peers=()
 deployment_pids=()
 
 toml_list() {
@@ -36,7 +37,10 @@
     control_admin+=("127.$net.1.$n:7100")
     control_rpc+=("127.$net.1.$n:7101")
   done
-  for n in $(seq "$entries"); do entry_http+=("127.$net.2.$n:7200"); done
+  for n in $(seq "$entries"); do
+    entry_http+=("127.$net.2.$n:7200")
+    entry_peers+=("entry-$n ${centres[(n - 1) % 3]} 127.$net.2.$n:7201 127.$net.2.$n:7200")
+  done
   for n in $(seq "$controls"); do
     cat >"$folder/control-$n.toml" <<TOML
 host = "control-$n"
@@ -52,6 +56,8 @@
 data_centre = "${centres[(n - 1) % 3]}"
 address = "${entry_http[n - 1]}"
 control = $(toml_list "${control_rpc[@]}")
+peer_address = "127.$net.2.$n:7201"
+peers = $(toml_list "${entry_peers[@]}")
 TOML
     start_process "entry-$n" apricot-entry
   done
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -76,7 +76,8 @@
 bool
 IsValid(const Directory& aDirectory, const DirectoryRecord& aRecord, TimePoint aNow)
 {
-  if (aRecord.mGone || LastVouched(aDirectory, aRecord) + kUpstreamLease <= aNow) {
+  const Duration lease = IsOwn(aDirectory, aRecord) ? kRegistrarLease : kUpstreamLease;
+  if (aRecord.mGone || LastVouched(aDirectory, aRecord) + lease <= aNow) {
     return false;
   }
   const auto sign = aDirectory.mRegistrars.find(aRecord.mRegistrar);
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -2,7 +2,7 @@
 
 #include "codec.h"
 #include "control_client.h"
-#include "directory.h"
+#include "discovery_node.h"
 #include "engine.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -17,12 +17,12 @@
 
 namespace {
 
-// Time that handed-out address answers stay valid, and how long a stopping host serves on.
-constexpr std::chrono::seconds kAddressLifetime{ 5 };
+// How long a stopping host serves on after the last address answer that named it has ended.
 constexpr std::chrono::seconds kStopMargin{ 1 };
 // A graceful stop ends after this time even if requests are still open.
 constexpr std::chrono::seconds kStopLimit{ 30 };
-constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(500);
+// Time that a forwarded query may take beyond its deadline before the home host counts as lost.
+constexpr Duration kForwardMargin = std::chrono::milliseconds(250);
 constexpr std::size_t kMaxAnnouncement = std::size_t{ 16 } * 1024;
 
 std::uint64_t
@@ -75,14 +75,18 @@
   void HandleRequest(HttpRequest aRequest, const HttpResponder& aRespond);
   void HandleQuery(const HttpRequest& aRequest, const HttpResponder& aRespond);
   void HandleAnnounce(const HttpRequest& aRequest, const HttpResponder& aRespond);
-  void HandleAddresses(const HttpResponder& aRespond);
+  void HandleAddresses(const HttpRequest& aRequest, const HttpResponder& aRespond);
   void HandleStatus(const HttpResponder& aRespond);
   void CarryOut(Actions aActions);
   void Send(const SendSub& aSend);
   void OnSubReply(AttemptId aAttempt, const ClientReply& aReply);
   void Answer(const Respond& aRespond);
   void ArmTimer();
-  void CheckLeases();
+  bool Forward(const HttpRequest& aRequest,
+               const QueryRequest& aQuery,
+               const HttpResponder& aRespond);
+  Duration ForwardTimeout(const QueryRequest& aQuery) const;
+  DiscoveryHooks MakeDiscoveryHooks();
   void AdoptConfig(const ConfigUpdate& aUpdate);
   void BeginStop();
   void FinishStop();
@@ -96,8 +100,10 @@
   Distribution& mLatency;
   Rng mRng;
   Engine mEngine;
-  Directory mDirectory;
   HttpClient mClient;
+  // Set by the owner of the engine's admission; until then the engine takes every slot.
+  std::function<void(const std::map<std::string, ReplicaShare>&)> mSetShares;
+  DiscoveryNode mDiscovery;
   std::unique_ptr<HttpServer> mServer;
   absl::flat_hash_map<QueryId, PendingQuery> mPending;
   absl::flat_hash_map<AttemptId, TransferId> mTransfers;
@@ -117,6 +123,15 @@
   , mLatency(mMetrics.AddDistribution("apricot_query_seconds", "Time from arrival to answer."))
   , mRng(mIncarnation)
   , mClient(mLoop, aSettings.mAddress.mIp, 0)
+  , mDiscovery(mLoop,
+               { aSettings.mHost,
+                 mIncarnation,
+                 aSettings.mDataCentre,
+                 aSettings.mAddress,
+                 aSettings.mPeerAddress,
+                 aSettings.mCharts },
+               MakeDiscoveryHooks(),
+               mMetrics)
 {
   mEngine.mDataCentre = aSettings.mDataCentre;
   // Attempt identifiers of an earlier incarnation are never used again.
@@ -140,7 +155,13 @@
     return 1;
   }
   mServer = *std::move(server);
-  mLoop.AddPeriodic(kLeaseCheckInterval, [this] { CheckLeases(); });
+  if (const auto started = mDiscovery.Start(); !started) {
+    LogEvent(Event::StartFailed, { { "reason", started.error().mMessage } });
+    mServer.reset();
+    StopLogger();
+    return 1;
+  }
+  mDiscovery.SetPeers(mSettings.mPeers);
   {
     const ControlClient control(
       mLoop,
@@ -171,7 +192,7 @@
   const Route routes[] = {
     { "POST", "/v1/query", [&] { HandleQuery(aRequest, aRespond); } },
     { "POST", "/v1/announce", [&] { HandleAnnounce(aRequest, aRespond); } },
-    { "GET", "/v1/addresses", [&] { HandleAddresses(aRespond); } },
+    { "GET", "/v1/addresses", [&] { HandleAddresses(aRequest, aRespond); } },
     { "GET", "/v1/status", [&] { HandleStatus(aRespond); } },
     { "GET",
       "/metrics",
@@ -205,6 +226,9 @@
     aRespond(ErrorResponse(request.error().mResult, request.error().mMessage));
     return;
   }
+  if (Forward(aRequest, *request, aRespond)) {
+    return;
+  }
   request->mId = mNextQuery++;
   const std::string_view given = aRequest.Header("x-request-id");
   request->mRequestId = given.empty()
@@ -231,9 +255,16 @@
     aRespond(ErrorResponse(info.error().mResult, info.error().mMessage));
     return;
   }
-  const AnnounceOutcome outcome = ApplyAnnouncement(mDirectory, *info, SteadyNow());
+  if (mDiscovery.State() == EntryHostState::Leaving) {
+    aRespond(ErrorResponse(Result::Stopping, "announce to another entry host"));
+    return;
+  }
+  const AnnounceOutcome outcome = mDiscovery.Announce(*info);
+  if (outcome == AnnounceOutcome::Full) {
+    aRespond(ErrorResponse(Result::Internal, "the table of upstreams is full"));
+    return;
+  }
   if (outcome == AnnounceOutcome::Changed) {
-    SetUpstreams(mEngine, ListUpstreams(mDirectory));
     LogEvent(Event::UpstreamAnnounced,
              { { "upstream", info->mId },
                { "service", info->mService },
@@ -246,35 +277,99 @@
 }
 
 void
-EntryServer::HandleAddresses(const HttpResponder& aRespond)
+EntryServer::HandleAddresses(const HttpRequest& aRequest, const HttpResponder& aRespond)
+{
+  const auto answer =
+    mDiscovery.AddressAnswer(std::string(aRequest.Argument("collection")),
+                             std::string(aRequest.Argument("data_centre")));
+  if (answer) {
+    aRespond({ 200, *answer });
+  } else {
+    aRespond(ErrorResponse(answer.error().mResult, answer.error().mMessage));
+  }
+}
+
+DiscoveryHooks
+EntryServer::MakeDiscoveryHooks()
 {
-  const nlohmann::json body{
-    { "addresses",
-      nlohmann::json::array({ { { "host", mSettings.mHost },
-                                { "address", FormatSocketAddress(mSettings.mAddress) },
-                                { "data_centre", mSettings.mDataCentre } } }) },
-    { "lifetime_ms", std::chrono::milliseconds(kAddressLifetime).count() }
+  DiscoveryHooks hooks;
+  hooks.mSetUpstreams = [this](const std::vector<UpstreamInfo>& aUpstreams) {
+    SetUpstreams(mEngine, aUpstreams);
   };
-  aRespond({ 200, body.dump() });
+  hooks.mSetShares = [this](const std::map<std::string, ReplicaShare>& aShares) {
+    if (mSetShares) {
+      mSetShares(aShares);
+    }
+  };
+  hooks.mLoad = [this] { return mPending.size(); };
+  return hooks;
+}
+
+Duration
+EntryServer::ForwardTimeout(const QueryRequest& aQuery) const
+{
+  // The longest deadline that applies; the home host itself keeps the exact one.
+  Duration timeout = aQuery.mDeadline.value_or(Duration(0));
+  if (mEngine.mConfig != nullptr) {
+    for (const auto& [name, policy] : mEngine.mConfig->mClasses) {
+      timeout = std::max(timeout, policy.mDeadline);
+    }
+  }
+  return timeout + kForwardMargin;
+}
+
+// Passes a query to a home host if this host holds no slots for it. One hop at most: a query that
+// was forwarded once is run or refused here.
+bool
+EntryServer::Forward(const HttpRequest& aRequest,
+                     const QueryRequest& aQuery,
+                     const HttpResponder& aRespond)
+{
+  if (!aRequest.Header(kHeaderForwarded).empty()) {
+    return false;
+  }
+  const auto target = mDiscovery.ForwardTarget(aQuery.mCollection);
+  if (!target) {
+    return false;
+  }
+  ClientRequest request;
+  request.mAddress = target->mAddress;
+  request.mPath = aRequest.mPath;
+  request.mBody = aRequest.mBody;
+  request.mTimeout = ForwardTimeout(aQuery);
+  request.mHeaders = { { kHeaderForwarded, mSettings.mHost } };
+  for (const auto& [name, value] : aRequest.mHeaders) {
+    if (name.starts_with("x-") || name == "authorization" || name == "content-type") {
+      request.mHeaders.push_back({ name, value });
+    }
+  }
+  LogEvent(Event::QueryForwarded,
+           { { "collection", aQuery.mCollection }, { "home", target->mName } });
+  mClient.Send(std::move(request), [aRespond](const ClientReply& aReply) {
+    if (aReply.mEnd == TransferEnd::Complete) {
+      HttpResponse response{ aReply.mStatus, aReply.mBody };
+      if (const auto wait = aReply.Header("retry-after"); !wait.empty()) {
+        response.mHeaders.push_back({ "Retry-After", std::string(wait) });
+      }
+      aRespond(std::move(response));
+      return;
+    }
+    const bool notRun =
+      aReply.mEnd == TransferEnd::NotConnected || aReply.mEnd == TransferEnd::NotSent;
+    aRespond(ErrorResponse(notRun ? Result::NoServingHost : Result::ForwardFailed,
+                           "the home host did not answer: " + aReply.mMessage));
+  });
+  return true;
 }
 
 void
 EntryServer::HandleStatus(const HttpResponder& aRespond)
 {
-  nlohmann::json upstreams = nlohmann::json::array();
-  for (const UpstreamInfo& info : ListUpstreams(mDirectory)) {
-    upstreams.push_back({ { "id", info.mId },
-                          { "service", info.mService },
-                          { "shard", info.mShard },
-                          { "map", info.mMap },
-                          { "versions", info.mVersions },
-                          { "state", UpstreamStateName(info.mState) } });
-  }
-  const nlohmann::json body{ { "host", mSettings.mHost },
-                             { "incarnation", mIncarnation },
-                             { "revision", mEngine.mConfig ? mEngine.mConfig->mRevision : 0 },
-                             { "running", mPending.size() },
-                             { "upstreams", upstreams } };
+  nlohmann::json body = nlohmann::json::parse(mDiscovery.StatusJson());
+  body["host"] = mSettings.mHost;
+  body["incarnation"] = mIncarnation;
+  body["revision"] = mEngine.mConfig ? mEngine.mConfig->mRevision : 0;
+  body["running"] = mPending.size();
   aRespond({ 200, body.dump() });
 }
 
@@ -377,18 +472,6 @@
   }
 }
 
-void
-EntryServer::CheckLeases()
-{
-  const std::vector<UpstreamInfo> expired = ExpireLeases(mDirectory, SteadyNow());
-  for (const UpstreamInfo& info : expired) {
-    LogEvent(Event::UpstreamExpired, { { "upstream", info.mId }, { "service", info.mService } });
-  }
-  if (!expired.empty()) {
-    SetUpstreams(mEngine, ListUpstreams(mDirectory));
-  }
-}
-
 void
 EntryServer::AdoptConfig(const ConfigUpdate& aUpdate)
 {
@@ -396,6 +479,8 @@
     ParseConfig(fmt::format("revision {}", aUpdate.mRevision), aUpdate.mDocument);
   parsed.mConfig.mRevision = aUpdate.mRevision;
   SetConfig(mEngine, std::make_shared<const Config>(std::move(parsed.mConfig)));
+  mDiscovery.SetConfig(mEngine.mConfig);
+  mDiscovery.SetMayServe(true);
   LogEvent(Event::ConfigurationAdopted, { { "revision", aUpdate.mRevision } });
 }
 
@@ -407,6 +492,7 @@
   }
   mStopping = true;
   LogEvent(Event::ProcessStopping, { { "running", mPending.size() } });
+  mDiscovery.BeginLeaving();
   const TimePoint now = SteadyNow();
   mStopAt = now + kAddressLifetime + kStopMargin;
   mStopLimit = now + kStopLimit;
--- a/src/standin.cpp
+++ b/src/standin.cpp
@@ -16,7 +16,11 @@
 
 namespace {
 
+// Longest time between announcements. Each interval is up to 20% shorter at random, so that
+// replicas that start together do not announce together.
 constexpr Duration kRenewInterval = std::chrono::seconds(2);
+// Before it announces to the next entry host after a failure.
+constexpr Duration kMoveDelay = std::chrono::milliseconds(100);
 constexpr Duration kAnnounceTimeout = std::chrono::seconds(1);
 constexpr Duration kWarmUp = std::chrono::milliseconds(100);
 // How long a drained replica waits for entry hosts to learn of the drain before it exits.
@@ -60,7 +64,10 @@
   void HandleSearch(HttpRequest aRequest, const HttpResponder& aRespond);
   void StartNext();
   void Finish(const Job& aJob);
+  // Announces to one entry host and moves to the next one when that fails.
   void Announce();
+  void Renew();
+  Duration Varied(Duration aInterval);
   void Apply(ChartEvent aEvent);
   void CheckDrained();
 
@@ -71,6 +78,9 @@
   std::unique_ptr<HttpServer> mServer;
   std::deque<Job> mQueue;
   std::uint32_t mBusy = 0;
+  Rng mRng;
+  // Index of the entry host that gets the announcements, modulo their number.
+  std::size_t mEntry = 0;
   TimePoint mDrainEnd;
 };
 
@@ -83,6 +93,8 @@
     std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())
       .count());
   mSettings.mInfo.mState = static_cast<UpstreamState>(mChart.mInitial);
+  mRng.seed(mSettings.mInfo.mIncarnation ^ std::hash<std::string>{}(mSettings.mInfo.mId));
+  mEntry = mRng() % mSettings.mEntries.size();
 }
 
 void
@@ -100,15 +112,40 @@
 void
 Standin::Announce()
 {
+  // Each message has its own sequence, so that a host that received an earlier attempt late never
+  // counts as the newer registrar.
   ++mSettings.mInfo.mSequence;
-  for (const SocketAddress& entry : mSettings.mEntries) {
-    ClientRequest request;
-    request.mAddress = entry;
-    request.mPath = "/v1/announce";
-    request.mBody = EncodeAnnouncement(mSettings.mInfo);
-    request.mTimeout = kAnnounceTimeout;
-    mClient.Send(std::move(request), [](const ClientReply&) {});
-  }
+  ClientRequest request;
+  request.mAddress = mSettings.mEntries[mEntry % mSettings.mEntries.size()];
+  request.mPath = "/v1/announce";
+  request.mBody = EncodeAnnouncement(mSettings.mInfo);
+  request.mTimeout = kAnnounceTimeout;
+  const std::uint64_t sequence = mSettings.mInfo.mSequence;
+  mClient.Send(std::move(request), [this, sequence](const ClientReply& aReply) {
+    const bool taken = aReply.mEnd == TransferEnd::Complete && aReply.mStatus == 200;
+    if (taken || sequence != mSettings.mInfo.mSequence) {
+      return;
+    }
+    ++mEntry;
+    mLoop.AddTimer(SteadyNow() + Varied(kMoveDelay), [this, sequence] {
+      if (sequence == mSettings.mInfo.mSequence) {
+        Announce();
+      }
+    });
+  });
+}
+
+void
+Standin::Renew()
+{
+  Announce();
+  mLoop.AddTimer(SteadyNow() + Varied(kRenewInterval), [this] { Renew(); });
+}
+
+Duration
+Standin::Varied(Duration aInterval)
+{
+  return aInterval * static_cast<std::int64_t>(800 + mRng() % 201) / 1000;
 }
 
 void
@@ -213,9 +250,8 @@
   }
   mServer = *std::move(server);
   LogEvent(Event::ProcessStarted, { { "upstream", mSettings.mInfo.mId } });
-  Announce();
+  Renew();
   mLoop.AddTimer(SteadyNow() + kWarmUp, [this] { Apply(kWarm); });
-  mLoop.AddPeriodic(kRenewInterval, [this] { Announce(); });
   mLoop.Run();
   mServer.reset();
   LogEvent(Event::ProcessStopped, { { "upstream", mSettings.mInfo.mId } });
@@ -241,6 +277,9 @@
   aReader.Text("data_centre", Presence::Required, 1, 64, info.mDataCentre);
   aReader.Address("address", Presence::Required, info.mAddress);
   aReader.AddressList("entries", Presence::Required, aSettings.mEntries);
+  if (aReader.Has("entries") && aSettings.mEntries.empty()) {
+    aReader.Problem("entries", "at least one entry host is needed");
+  }
   aReader.Integer("shard", Presence::Optional, 0, 100'000, shard);
   aReader.Integer("map", Presence::Optional, 1, 1'000'000, map);
   aReader.Integer("range_low", Presence::Optional, 0, kKeySpace - 1, low);
