Merge discovery; connect roster, witness service and shares to the entry host

Cause: discovery, control and the engine were written side by side and each had its own place for the peer service, the roster and the witness lease.

Change: one server per entry host carries both peer services; the roster of control gives discovery its peers and the epochs that divide the slots; the shares go to the engine. Two faults found on the way: gRPC aborted ("assertion failed: prior > 0") when a callback dropped the last channel, because its shared queue of callbacks was destroyed on its own thread; the queue is now kept for the life of the process. Threads that gRPC started before the signals were blocked ended the process on SIGTERM; the signals are now blocked first.

The trace showed the unref inside the thread that polls the shared queue.

--- a/src/bench_baseline.cpp
+++ b/src/bench_baseline.cpp
@@ -48,7 +48,7 @@
 
 // The newest version that the most shards offer.
 IndexVersion
-BestVersion(const Baseline& aBaseline, const std::map<ShardKey, ShardRun>& aShards)
+BestVersion(const Baseline& aBaseline, const std::map<ShardKey, BaselineShard>& aShards)
 {
   std::map<IndexVersion, std::uint32_t> offers;
   for (const auto& [shard, run] : aShards) {
@@ -92,9 +92,9 @@
   answer.mSnapshot = run.mSnapshot;
   answer.mElapsed = aNow - run.mArrived;
   answer.mAttempts = run.mAttempts;
-  for (const auto& [shard, progress] : run.mShards) {
+  for (const auto& [shard, progress] : node.mapped().mShards) {
     ++answer.mExpected;
-    if (progress.mProgress == ShardProgress::Answered) {
+    if (progress.mAnswered) {
       ++answer.mAnswered;
     } else {
       answer.mMissing.push_back({ shard, progress.mReason });
@@ -139,8 +139,7 @@
                                    run.mDeadline - aNow });
     return;
   }
-  ShardRun& shard = run.mShards.at(aShard);
-  shard.mProgress = ShardProgress::Missing;
+  BaselineShard& shard = aQuery.mShards.at(aShard);
   shard.mReason = MissingReason::Failed;
   --run.mOpenShards;
 }
@@ -173,17 +172,17 @@
   for (const std::string& service : collection.mServices) {
     const std::vector<ShardKey> shards = NewestMap(aBaseline, service);
     for (const ShardKey& shard : shards) {
-      run.mShards[shard];
+      query.mShards[shard];
       run.mSnapshot.mMaps[service] = shard.mMap;
     }
     if (shards.empty()) {
-      run.mShards[{ service, 0, 0 }].mReason = MissingReason::NotAnnounced;
+      query.mShards[{ service, 0, 0 }].mReason = MissingReason::NotAnnounced;
     }
   }
-  run.mSnapshot.mVersion = BestVersion(aBaseline, run.mShards);
-  run.mOpenShards = static_cast<std::uint32_t>(run.mShards.size());
+  run.mSnapshot.mVersion = BestVersion(aBaseline, query.mShards);
+  run.mOpenShards = static_cast<std::uint32_t>(query.mShards.size());
   aBaseline.mDeadlines.emplace(run.mDeadline, id);
-  for (const auto& [shard, progress] : run.mShards) {
+  for (const auto& [shard, progress] : query.mShards) {
     SendNext(aBaseline, query, shard, aNow, aActions);
   }
   if (run.mOpenShards == 0) {
@@ -207,7 +206,7 @@
   const QueryId id = found->second.mQuery;
   aBaseline.mAttempts.erase(found);
   query.mLive.erase(aReply.mAttempt);
-  run.mShards.at(aReply.mShard).mProgress = ShardProgress::Answered;
+  query.mShards.at(aReply.mShard).mAnswered = true;
   std::move(aReply.mItems.begin(), aReply.mItems.end(), std::back_inserter(run.mItems));
   if (--run.mOpenShards == 0) {
     FinishQuery(aBaseline, id, aNow, aActions);
--- a/src/bench_baseline.h
+++ b/src/bench_baseline.h
@@ -7,9 +7,16 @@
 
 namespace apricotyard {
 
+struct BaselineShard
+{
+  bool mAnswered = false;
+  MissingReason mReason = MissingReason::TimedOut;
+};
+
 struct BaselineQuery
 {
   RunningQuery mRun;
+  std::map<ShardKey, BaselineShard> mShards;
   std::map<ShardKey, std::uint32_t> mTries;
   std::set<AttemptId> mLive;
 };
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -2,6 +2,7 @@
 
 #include "control.grpc.pb.h"
 #include "log.h"
+#include "rpc_runtime.h"
 #include "settings.h"
 
 #include <set>
@@ -284,7 +285,7 @@
   }
   const rpc::Roster& roster =
     mView.mPending.epoch() == question->mEpoch ? mView.mPending : mView.mSettled;
-  rpc::WitnessRequest request;
+  rpc::WitnessQuestion request;
   request.set_host(question->mHost);
   request.set_incarnation(mIdentity.mIncarnation);
   request.set_revision(question->mRevision);
@@ -306,14 +307,14 @@
     if (stub == nullptr) {
       stub = rpc::Witness::NewStub(OpenChannel(host->peer_address()));
     }
-    Send<rpc::WitnessRequest, rpc::WitnessReply>(
+    Send<rpc::WitnessQuestion, rpc::WitnessAnswer>(
       request,
       kWitnessTimeout,
       [&stub](auto& aCall, auto aCallback) {
         stub->async()->Ask(&aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aCallback));
       },
       [now, witness, address = host->peer_address()](
-        State& aState, const grpc::Status& aStatus, const rpc::WitnessReply& aReply) {
+        State& aState, const grpc::Status& aStatus, const rpc::WitnessAnswer& aReply) {
         if (aStatus.ok() && aReply.granted()) {
           OnWitnessGrant(aState.mAuthority, witness, now);
         } else if (aStatus.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
@@ -388,6 +389,7 @@
                              ConfigHandler aOnConfig)
   : mState(std::make_shared<State>(aLoop, std::move(aIdentity), std::move(aOnConfig)))
 {
+  HoldCallbackQueue();
   mState->mControl = aControl;
   mState->mStubs.resize(aControl.size());
   for (std::size_t i = 0; i < aControl.size(); ++i) {
@@ -518,8 +520,8 @@
   }
 
   grpc::Status Ask(grpc::ServerContext* /*aContext*/,
-                   const rpc::WitnessRequest* aRequest,
-                   rpc::WitnessReply* aReply) override
+                   const rpc::WitnessQuestion* aRequest,
+                   rpc::WitnessAnswer* aReply) override
   {
     struct Answer
     {
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -3,7 +3,7 @@
 #include "caller_access.h"
 #include "codec.h"
 #include "control_client.h"
-#include "directory.h"
+#include "discovery_node.h"
 #include "engine.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -19,12 +19,14 @@
 
 namespace {
 
-// Time that handed-out address answers stay valid, and how long a stopping host serves on.
-constexpr std::chrono::seconds kAddressLifetime{ 5 };
+// How long a stopping host serves on after the last address answer that named it has ended.
 constexpr std::chrono::seconds kStopMargin{ 1 };
 // A graceful stop ends after this time even if requests are still open.
 constexpr std::chrono::seconds kStopLimit{ 30 };
-constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(500);
+// Time that a forwarded query may take beyond its deadline before the home host counts as lost.
+constexpr Duration kForwardMargin = std::chrono::milliseconds(250);
+// How soon a lost or regained right to serve shows in the address answers.
+constexpr Duration kMayServeInterval = std::chrono::milliseconds(200);
 constexpr std::size_t kMaxAnnouncement = std::size_t{ 16 } * 1024;
 
 std::uint64_t
@@ -35,6 +37,17 @@
       .count());
 }
 
+RosterEpoch
+ToRosterEpoch(const rpc::Roster& aRoster)
+{
+  RosterEpoch epoch;
+  epoch.mEpoch = aRoster.epoch();
+  for (const rpc::Host& host : aRoster.hosts()) {
+    epoch.mHosts.push_back({ host.host(), host.data_centre() });
+  }
+  return epoch;
+}
+
 FailureKind
 ClassifyReply(const ClientReply& aReply)
 {
@@ -77,16 +90,20 @@
   void HandleRequest(HttpRequest aRequest, const HttpResponder& aRespond);
   void HandleQuery(const HttpRequest& aRequest, const HttpResponder& aRespond);
   void HandleAnnounce(const HttpRequest& aRequest, const HttpResponder& aRespond);
-  void HandleAddresses(const HttpResponder& aRespond);
+  void HandleAddresses(const HttpRequest& aRequest, const HttpResponder& aRespond);
   void HandleStatus(const HttpResponder& aRespond);
   void CarryOut(Actions aActions);
   void Send(const SendSub& aSend);
   void OnSubReply(AttemptId aAttempt, const ClientReply& aReply);
   void Answer(const Respond& aRespond);
   void ArmTimer();
-  void CheckLeases();
+  bool Forward(const HttpRequest& aRequest,
+               const QueryRequest& aQuery,
+               const HttpResponder& aRespond);
+  Duration ForwardTimeout(const QueryRequest& aQuery) const;
+  DiscoveryHooks MakeDiscoveryHooks();
   void AdoptConfig(const ConfigUpdate& aUpdate);
-  std::unique_ptr<grpc::Server> StartPeerServer(grpc::Service& aWitness);
+  void AdoptView();
   void BeginStop();
   void FinishStop();
 
@@ -99,16 +116,17 @@
   Distribution& mLatency;
   Rng mRng;
   Engine mEngine;
-  Directory mDirectory;
   HttpClient mClient;
+  ControlClient mControl;
+  // Served by the node below, so it is destroyed after it.
+  std::unique_ptr<grpc::Service> mWitness;
+  DiscoveryNode mDiscovery;
   std::unique_ptr<HttpServer> mServer;
   absl::flat_hash_map<QueryId, PendingQuery> mPending;
   absl::flat_hash_map<AttemptId, TransferId> mTransfers;
   QueryId mNextQuery = 1;
   TimerId mTimer = 0;
   std::optional<TimePoint> mTimerAt;
-  // Null until the contact with control begins.
-  ControlClient* mControl = nullptr;
   bool mStopping = false;
   TimePoint mStopAt;
   TimePoint mStopLimit;
@@ -122,6 +140,24 @@
   , mLatency(mMetrics.AddDistribution("apricot_query_seconds", "Time from arrival to answer."))
   , mRng(mIncarnation)
   , mClient(mLoop, aSettings.mAddress.mIp, 0)
+  , mControl(mLoop,
+             { aSettings.mHost,
+               mIncarnation,
+               aSettings.mDataCentre,
+               aSettings.mAddress,
+               aSettings.mPeerAddress },
+             aSettings.mControl,
+             [this](const ConfigUpdate& aUpdate) { AdoptConfig(aUpdate); })
+  , mWitness(mControl.MakeWitnessService())
+  , mDiscovery(mLoop,
+               { aSettings.mHost,
+                 mIncarnation,
+                 aSettings.mDataCentre,
+                 aSettings.mAddress,
+                 aSettings.mPeerAddress,
+                 aSettings.mCharts },
+               MakeDiscoveryHooks(),
+               mMetrics)
 {
   mEngine.mDataCentre = aSettings.mDataCentre;
   // Attempt identifiers of an earlier incarnation are never used again.
@@ -145,30 +181,19 @@
     return 1;
   }
   mServer = *std::move(server);
-  mLoop.AddPeriodic(kLeaseCheckInterval, [this] { CheckLeases(); });
-  {
-    ControlClient control(mLoop,
-                          { mSettings.mHost,
-                            mIncarnation,
-                            mSettings.mDataCentre,
-                            mSettings.mAddress,
-                            mSettings.mPeerAddress },
-                          mSettings.mControl,
-                          [this](const ConfigUpdate& aUpdate) { AdoptConfig(aUpdate); });
-    mControl = &control;
-    const std::unique_ptr<grpc::Service> witness = control.MakeWitnessService();
-    const std::unique_ptr<grpc::Server> peerServer = StartPeerServer(*witness);
-    LogEvent(Event::ProcessStarted,
-             { { "host", mSettings.mHost },
-               { "address", FormatSocketAddress(mSettings.mAddress) },
-               { "incarnation", mIncarnation } });
-    mLoop.Run();
-    mControl = nullptr;
-    if (peerServer != nullptr) {
-      // Without this deadline the server would wait for calls that the stopped loop cannot answer.
-      peerServer->Shutdown(std::chrono::system_clock::now());
-    }
+  if (const auto started = mDiscovery.Start(); !started) {
+    LogEvent(Event::StartFailed, { { "reason", started.error().mMessage } });
+    mServer.reset();
+    StopLogger();
+    return 1;
   }
+  mControl.OnView([this] { AdoptView(); });
+  mLoop.AddPeriodic(kMayServeInterval, [this] { mDiscovery.SetMayServe(mControl.MayServe()); });
+  LogEvent(Event::ProcessStarted,
+           { { "host", mSettings.mHost },
+             { "address", FormatSocketAddress(mSettings.mAddress) },
+             { "incarnation", mIncarnation } });
+  mLoop.Run();
   mServer.reset();
   LogEvent(Event::ProcessStopped, { { "host", mSettings.mHost } });
   StopLogger();
@@ -187,7 +212,7 @@
   const Route routes[] = {
     { "POST", "/v1/query", [&] { HandleQuery(aRequest, aRespond); } },
     { "POST", "/v1/announce", [&] { HandleAnnounce(aRequest, aRespond); } },
-    { "GET", "/v1/addresses", [&] { HandleAddresses(aRespond); } },
+    { "GET", "/v1/addresses", [&] { HandleAddresses(aRequest, aRespond); } },
     { "GET", "/v1/status", [&] { HandleStatus(aRespond); } },
     { "GET",
       "/metrics",
@@ -216,7 +241,7 @@
     aRespond(ErrorResponse(Result::Stopping, "the host is stopping"));
     return;
   }
-  if (mControl != nullptr && mEngine.mConfig != nullptr && !mControl->MayServe()) {
+  if (mEngine.mConfig != nullptr && !mControl.MayServe()) {
     aRespond(ErrorResponse(Result::NotCurrent, "the control lease and the witness lease ended"));
     return;
   }
@@ -225,6 +250,9 @@
     aRespond(ErrorResponse(request.error().mResult, request.error().mMessage));
     return;
   }
+  if (Forward(aRequest, *request, aRespond)) {
+    return;
+  }
   request->mId = mNextQuery++;
   const std::string_view given = aRequest.Header("x-request-id");
   request->mRequestId = given.empty()
@@ -262,9 +290,16 @@
     aRespond(ErrorResponse(info.error().mResult, info.error().mMessage));
     return;
   }
-  const AnnounceOutcome outcome = ApplyAnnouncement(mDirectory, *info, SteadyNow());
+  if (mDiscovery.State() == EntryHostState::Leaving) {
+    aRespond(ErrorResponse(Result::Stopping, "announce to another entry host"));
+    return;
+  }
+  const AnnounceOutcome outcome = mDiscovery.Announce(*info);
+  if (outcome == AnnounceOutcome::Full) {
+    aRespond(ErrorResponse(Result::Internal, "the table of upstreams is full"));
+    return;
+  }
   if (outcome == AnnounceOutcome::Changed) {
-    SetUpstreams(mEngine, ListUpstreams(mDirectory));
     LogEvent(Event::UpstreamAnnounced,
              { { "upstream", info->mId },
                { "service", info->mService },
@@ -277,35 +312,100 @@
 }
 
 void
-EntryServer::HandleAddresses(const HttpResponder& aRespond)
+EntryServer::HandleAddresses(const HttpRequest& aRequest, const HttpResponder& aRespond)
+{
+  const auto answer = mDiscovery.AddressAnswer(std::string(aRequest.Argument("collection")),
+                                               std::string(aRequest.Argument("data_centre")));
+  if (answer) {
+    aRespond({ 200, *answer });
+  } else {
+    aRespond(ErrorResponse(answer.error().mResult, answer.error().mMessage));
+  }
+}
+
+DiscoveryHooks
+EntryServer::MakeDiscoveryHooks()
 {
-  const nlohmann::json body{
-    { "addresses",
-      nlohmann::json::array({ { { "host", mSettings.mHost },
-                                { "address", FormatSocketAddress(mSettings.mAddress) },
-                                { "data_centre", mSettings.mDataCentre } } }) },
-    { "lifetime_ms", std::chrono::milliseconds(kAddressLifetime).count() }
+  DiscoveryHooks hooks;
+  hooks.mSetUpstreams = [this](const std::vector<UpstreamInfo>& aUpstreams) {
+    SetUpstreams(mEngine, aUpstreams);
   };
-  aRespond({ 200, body.dump() });
+  hooks.mSetShares = [this](const std::map<std::string, ReplicaShare>& aShares) {
+    std::map<std::string, std::uint32_t> slots;
+    for (const auto& [upstream, share] : aShares) {
+      slots[upstream] = share.mSlots;
+    }
+    SetShares(mEngine, std::move(slots));
+  };
+  hooks.mLoad = [this] { return mPending.size(); };
+  return hooks;
+}
+
+Duration
+EntryServer::ForwardTimeout(const QueryRequest& aQuery) const
+{
+  // The longest deadline that applies; the home host itself keeps the exact one.
+  Duration timeout = aQuery.mDeadline.value_or(Duration(0));
+  if (mEngine.mConfig != nullptr) {
+    for (const auto& [name, policy] : mEngine.mConfig->mClasses) {
+      timeout = std::max(timeout, policy.mDeadline);
+    }
+  }
+  return timeout + kForwardMargin;
+}
+
+// Passes a query to a home host if this host holds no slots for it. One hop at most: a query that
+// was forwarded once is run or refused here.
+bool
+EntryServer::Forward(const HttpRequest& aRequest,
+                     const QueryRequest& aQuery,
+                     const HttpResponder& aRespond)
+{
+  if (!aRequest.Header(kHeaderForwarded).empty()) {
+    return false;
+  }
+  const auto target = mDiscovery.ForwardTarget(aQuery.mCollection);
+  if (!target) {
+    return false;
+  }
+  ClientRequest request;
+  request.mAddress = target->mAddress;
+  request.mPath = aRequest.mPath;
+  request.mBody = aRequest.mBody;
+  request.mTimeout = ForwardTimeout(aQuery);
+  request.mHeaders = { { kHeaderForwarded, mSettings.mHost } };
+  for (const auto& [name, value] : aRequest.mHeaders) {
+    if (name.starts_with("x-") || name == "authorization" || name == "content-type") {
+      request.mHeaders.push_back({ name, value });
+    }
+  }
+  LogEvent(Event::QueryForwarded,
+           { { "collection", aQuery.mCollection }, { "home", target->mName } });
+  mClient.Send(std::move(request), [aRespond](const ClientReply& aReply) {
+    if (aReply.mEnd == TransferEnd::Complete) {
+      HttpResponse response{ aReply.mStatus, aReply.mBody };
+      if (const auto wait = aReply.Header("retry-after"); !wait.empty()) {
+        response.mHeaders.push_back({ "Retry-After", std::string(wait) });
+      }
+      aRespond(std::move(response));
+      return;
+    }
+    const bool notRun =
+      aReply.mEnd == TransferEnd::NotConnected || aReply.mEnd == TransferEnd::NotSent;
+    aRespond(ErrorResponse(notRun ? Result::NoServingHost : Result::ForwardFailed,
+                           "the home host did not answer: " + aReply.mMessage));
+  });
+  return true;
 }
 
 void
 EntryServer::HandleStatus(const HttpResponder& aRespond)
 {
-  nlohmann::json upstreams = nlohmann::json::array();
-  for (const UpstreamInfo& info : ListUpstreams(mDirectory)) {
-    upstreams.push_back({ { "id", info.mId },
-                          { "service", info.mService },
-                          { "shard", info.mShard },
-                          { "map", info.mMap },
-                          { "versions", info.mVersions },
-                          { "state", UpstreamStateName(info.mState) } });
-  }
-  const nlohmann::json body{ { "host", mSettings.mHost },
-                             { "incarnation", mIncarnation },
-                             { "revision", mEngine.mConfig ? mEngine.mConfig->mRevision : 0 },
-                             { "running", mPending.size() },
-                             { "upstreams", upstreams } };
+  nlohmann::json body = nlohmann::json::parse(mDiscovery.StatusJson());
+  body["host"] = mSettings.mHost;
+  body["incarnation"] = mIncarnation;
+  body["revision"] = mEngine.mConfig ? mEngine.mConfig->mRevision : 0;
+  body["running"] = mPending.size();
   aRespond({ 200, body.dump() });
 }
 
@@ -408,43 +508,33 @@
   }
 }
 
-void
-EntryServer::CheckLeases()
-{
-  const std::vector<UpstreamInfo> expired = ExpireLeases(mDirectory, SteadyNow());
-  for (const UpstreamInfo& info : expired) {
-    LogEvent(Event::UpstreamExpired, { { "upstream", info.mId }, { "service", info.mService } });
-  }
-  if (!expired.empty()) {
-    SetUpstreams(mEngine, ListUpstreams(mDirectory));
-  }
-}
-
 void
 EntryServer::AdoptConfig(const ConfigUpdate& aUpdate)
 {
   SetConfig(mEngine, std::make_shared<const Config>(aUpdate.mConfig));
+  mDiscovery.SetConfig(mEngine.mConfig);
+  mDiscovery.SetMayServe(mControl.MayServe());
   LogEvent(Event::ConfigurationAdopted, { { "revision", aUpdate.mRevision } });
 }
 
-// Null if the settings name no peer address.
-std::unique_ptr<grpc::Server>
-EntryServer::StartPeerServer(grpc::Service& aWitness)
+// Hands the roster of control to discovery: the peers, and the epochs that divide the slots.
+void
+EntryServer::AdoptView()
 {
-  if (mSettings.mPeerAddress.mPort == 0) {
-    return nullptr;
-  }
-  grpc::ServerBuilder builder;
-  builder.AddListeningPort(FormatSocketAddress(mSettings.mPeerAddress),
-                           grpc::InsecureServerCredentials());
-  builder.RegisterService(&aWitness);
-  auto server = builder.BuildAndStart();
-  if (server == nullptr) {
-    LogEvent(Event::StartFailed,
-             { { "reason", "cannot listen on " + FormatSocketAddress(mSettings.mPeerAddress) } });
-    mLoop.Stop();
+  const ControlView& view = mControl.View();
+  const bool pending = view.mPending.epoch() != 0;
+  const rpc::Roster& newest = pending ? view.mPending : view.mSettled;
+  std::vector<PeerInfo> peers;
+  for (const rpc::Host& host : newest.hosts()) {
+    const auto caller = ParseSocketAddress(host.caller_address());
+    const auto peer = ParseSocketAddress(host.peer_address());
+    if (caller && peer) {
+      peers.push_back({ host.host(), host.data_centre(), *peer, *caller });
+    }
   }
-  return server;
+  mDiscovery.SetPeers(peers);
+  mDiscovery.SetRoster(ToRosterEpoch(newest),
+                       pending ? std::optional(ToRosterEpoch(view.mSettled)) : std::nullopt);
 }
 
 void
@@ -455,6 +545,7 @@
   }
   mStopping = true;
   LogEvent(Event::ProcessStopping, { { "running", mPending.size() } });
+  mDiscovery.BeginLeaving();
   const TimePoint now = SteadyNow();
   mStopAt = now + kAddressLifetime + kStopMargin;
   mStopLimit = now + kStopLimit;
@@ -475,6 +566,7 @@
 int
 RunEntry(const EntrySettings& aSettings)
 {
+  BlockStopSignals();
   EntryServer server(aSettings);
   return server.Run();
 }
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -13,9 +13,11 @@
   std::string mDataCentre;
   // Where callers and upstreams connect.
   SocketAddress mAddress;
-  // Where other entry hosts connect; port 0 if there is no peer service.
+  // Where other entry hosts connect.
   SocketAddress mPeerAddress;
   std::vector<SocketAddress> mControl;
+  // Folder of the state charts.
+  std::string mCharts = "charts";
   std::int64_t mMaxConnections = 2000;
   LogLevel mLogLevel = LogLevel::Info;
 };
--- a/src/latency.cpp
+++ b/src/latency.cpp
@@ -117,8 +117,7 @@
 {
   const auto sample = static_cast<double>(aLatency.count());
   aEstimate.mMeanUs =
-    aEstimate.mSamples == 0 ? sample
-                            : aEstimate.mMeanUs + kMeanStep * (sample - aEstimate.mMeanUs);
+    aEstimate.mSamples == 0 ? sample : aEstimate.mMeanUs + kMeanStep * (sample - aEstimate.mMeanUs);
   ++aEstimate.mSamples;
   aEstimate.mLast = aNow;
 }
--- a/src/loop.cpp
+++ b/src/loop.cpp
@@ -22,6 +22,16 @@
 constexpr Duration kMaxWait = std::chrono::seconds(1);
 constexpr int kEventsPerWait = 256;
 
+sigset_t
+StopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
 } // namespace
 
 TimePoint
@@ -197,13 +207,17 @@
 }
 
 void
-HandleStopSignals(Loop& aLoop, Loop::Task aHandler)
+BlockStopSignals()
 {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
+  const sigset_t signals = StopSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void
+HandleStopSignals(Loop& aLoop, Loop::Task aHandler)
+{
+  BlockStopSignals();
+  const sigset_t signals = StopSignals();
   // A write to a connection that the peer closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   const int fd = signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
--- a/src/loop.h
+++ b/src/loop.h
@@ -75,6 +75,11 @@
   std::deque<Task> mMailbox;
 };
 
+// Blocks SIGTERM and SIGINT, which HandleStopSignals reads. Call before the first thread starts: a
+// thread that does not block them would end the process at once.
+void
+BlockStopSignals();
+
 // Calls aLoop.Stop, or aHandler if given, when the process receives SIGTERM or SIGINT. Call once,
 // before any thread starts, because it blocks the signals and reads them through a descriptor.
 void
--- a/src/raft_node.cpp
+++ b/src/raft_node.cpp
@@ -2,6 +2,7 @@
 
 #include "log.h"
 #include "raft.grpc.pb.h"
+#include "rpc_runtime.h"
 #include "settings.h"
 
 #include <algorithm>
@@ -765,6 +766,7 @@
 Expected<std::unique_ptr<RaftNode>>
 RaftNode::Builder::Start()
 {
+  HoldCallbackQueue();
   auto state = std::make_shared<State>(mLoop);
   auto chart = LoadChart(mChartFile);
   if (!chart) {
