--- a/src/storage.cpp
+++ b/src/storage.cpp
@@ -283,10 +283,11 @@
   ssize_t count = fd;
   std::string data;
   while (count >= 0) {
-    constexpr std::size_t kStep = std::size_t{ 1024 } * 1024;
+    constexpr std::size_t kFirstStep = std::size_t{ 16 } * 1024;
     const std::size_t size = data.size();
-    data.resize(size + kStep);
-    count = mOps.mRead(fd, data.data() + size, kStep, size);
+    const std::size_t step = std::max(kFirstStep, size);
+    data.resize(size + step);
+    count = mOps.mRead(fd, data.data() + size, step, size);
     data.resize(size + static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
     if (count == 0) {
       mOps.mClose(fd);
