--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -150,14 +150,26 @@
   }
 }
 
+// A voter whose removal is not known to be committed must still stand for election: its log may be
+// the newest, and then no other member gets a majority (Ongaro, section 4.2.2).
+bool
+MayStand(const Raft& aRaft)
+{
+  const std::string& self = aRaft.mSettings.mSelf;
+  const auto& [index, members] = *aRaft.mMembers.rbegin();
+  return IsVoter(members, self) ||
+         (FindMember(members, self) == nullptr && index > aRaft.mCommitted &&
+          aRaft.mMembers.size() > 1 && IsVoter(std::next(aRaft.mMembers.rbegin())->second, self));
+}
+
 // Fits the role to the member list in effect.
 void
 FitRole(Raft& aRaft)
 {
-  const LogMember* const self = FindMember(RaftMembers(aRaft), aRaft.mSettings.mSelf);
-  if (self != nullptr) {
-    ChangeRole(aRaft,
-               self->mRole == MemberRole::Voter ? RaftEvent::MadeVoter : RaftEvent::MadeLearner);
+  if (MayStand(aRaft)) {
+    ChangeRole(aRaft, RaftEvent::MadeVoter);
+  } else if (FindMember(RaftMembers(aRaft), aRaft.mSettings.mSelf) != nullptr) {
+    ChangeRole(aRaft, RaftEvent::MadeLearner);
   }
   if (aRaft.mRole == RaftRole::Leader) {
     AddProgress(aRaft);
@@ -906,7 +918,7 @@
     case RaftRole::Follower:
     case RaftRole::PreCandidate:
     case RaftRole::Candidate:
-      if (aNow >= aRaft.mElectionDue && IsVoter(RaftMembers(aRaft), aRaft.mSettings.mSelf)) {
+      if (aNow >= aRaft.mElectionDue && MayStand(aRaft)) {
         StartPreVote(aRaft, aNow);
       }
       return;
--- a/src/raft_schedule.cpp
+++ b/src/raft_schedule.cpp
@@ -735,9 +735,31 @@
       mHosts.begin(), mHosts.end(), [](const auto& aHost) { return aHost->mMember != nullptr; });
   }
 
+  void TraceState()
+  {
+    for (std::size_t i = 0; i < mHosts.size(); ++i) {
+      if (mHosts[i]->mMember == nullptr) {
+        Trace("host {} is down", i);
+        continue;
+      }
+      const Raft& core = mHosts[i]->mMember->Core();
+      Trace("host {}: {} of term {}, log {} to {}, committed {}, list at {}: {}{}",
+            i,
+            RoleName(core.mRole),
+            core.mVote.mTerm,
+            core.mBase.mIndex,
+            RaftLastIndex(core),
+            core.mCommitted,
+            core.mMembers.rbegin()->first,
+            EncodeMembers(RaftMembers(core)),
+            mHosts[i]->mMember->DiskIsFull() ? ", disk full" : "");
+    }
+  }
+
   void CheckEnd()
   {
     CheckLogs();
+    TraceState();
     if (!mResult.mFailure.empty()) {
       return;
     }
@@ -748,8 +770,14 @@
       const Host& host = *mHosts[i];
       if (host.mMember == nullptr) {
         Violate(fmt::format("host {} did not restart", i));
-      } else if (host.mMember->Core().mRole == RaftRole::Leader && host.mApplied < mFloor) {
-        Violate(fmt::format("the leader lacks acknowledged commands after {}", host.mApplied));
+      } else if (host.mMember->Core().mRole == RaftRole::Leader) {
+        // Until the first entry of its term is committed, a leader may not have applied all that it
+        // holds; it answers no reads before.
+        const Raft& core = host.mMember->Core();
+        const bool settled = RaftTermAt(core, core.mCommitted) == core.mVote.mTerm;
+        if (RaftLastIndex(core) < mFloor || (settled && host.mApplied < mFloor)) {
+          Violate(fmt::format("the leader lacks acknowledged commands after {}", host.mApplied));
+        }
       }
     }
   }
