--- a/src/schedules.cpp
+++ b/src/schedules.cpp
@@ -1,11 +1,13 @@
 // apricot-schedules: runs randomized schedules of the control group and reports what they break.
 #include "cmdline.h"
 #include "log.h"
-#include "raft.h"
+#include "raft_node.h"
 #include "raft_schedule.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
+#include <filesystem>
 #include <thread>
 
 #include <absl/synchronization/mutex.h>
@@ -100,6 +102,199 @@
   return result.mFailure.empty() ? kExitOk : kExitFailure;
 }
 
+using Clock = std::chrono::steady_clock;
+
+double
+SecondsSince(Clock::time_point aStart)
+{
+  return std::chrono::duration<double>(Clock::now() - aStart).count();
+}
+
+// A state machine that counts.
+StateMachine
+CountingMachine(std::uint64_t& aCount)
+{
+  return { [&aCount](std::uint64_t, std::string_view) {
+            ++aCount;
+            return std::string();
+          },
+           [&aCount] { return std::to_string(aCount); },
+           [&aCount](std::string_view aData) -> Expected<void> {
+             aCount = std::strtoull(std::string(aData).c_str(), nullptr, 10);
+             return {};
+           } };
+}
+
+// Opens a log of aRecords entries without a snapshot, the longest log that a restart can meet.
+Expected<void>
+MeasureRestart(const Chart& aChart, const std::string& aFolder, std::uint64_t aRecords)
+{
+  constexpr std::uint64_t kBatch = 100;
+  {
+    auto storage = Storage::Open(SystemFileOps(), aFolder, "measure", 1);
+    if (!storage) {
+      return tl::unexpected(storage.error());
+    }
+    for (std::uint64_t index = 1; index <= aRecords; index += kBatch) {
+      std::vector<LogEntry> entries;
+      for (std::uint64_t i = 0; i < kBatch; ++i) {
+        entries.push_back({ index + i, 1, EntryKind::Command, std::string(200, 'x') });
+      }
+      if (auto done = (*storage)->Append(entries); !done) {
+        return done;
+      }
+    }
+  }
+  const auto start = Clock::now();
+  auto storage = Storage::Open(SystemFileOps(), aFolder, "measure", 1);
+  if (!storage) {
+    return tl::unexpected(storage.error());
+  }
+  std::uint64_t count = 0;
+  const auto member = RaftMember::Open(
+    {},
+    aChart,
+    std::move(*storage),
+    CountingMachine(count),
+    [](const RaftMessage&) {},
+    SteadyNow());
+  if (!member) {
+    return tl::unexpected(member.error());
+  }
+  fmt::print("restart with {} records of 200 bytes: {:.3f} s\n",
+             RaftLastIndex((*member)->Core()),
+             SecondsSince(start));
+  return {};
+}
+
+// Three members, each with its own loop and thread, over gRPC on loopback with real syncs.
+struct MeasuredMember
+{
+  Loop mLoop;
+  std::uint64_t mCount = 0;
+  std::unique_ptr<RaftNode> mNode;
+  std::thread mThread;
+};
+
+// Keeps aOpen proposals open for aTime. Runs on the loop of the leader.
+struct Proposer
+{
+  RaftNode& mNode;
+  Clock::time_point mEnd;
+  std::vector<double> mLatencies;
+  std::uint64_t mFailed = 0;
+  std::atomic<int> mOpen{ 0 };
+
+  void Propose()
+  {
+    const auto start = Clock::now();
+    ++mOpen;
+    mNode.Propose(std::string(200, 'x'), [this, start](const Expected<std::string>& aOutcome) {
+      mFailed += aOutcome ? 0U : 1U;
+      mLatencies.push_back(SecondsSince(start));
+      if (Clock::now() < mEnd && aOutcome) {
+        Propose();
+      }
+      --mOpen;
+    });
+  }
+};
+
+void
+MeasureProposals(MeasuredMember& aLeader, int aOpen)
+{
+  constexpr std::chrono::seconds kTime{ 5 };
+  Proposer proposer{ *aLeader.mNode, Clock::now() + kTime, {}, 0, {} };
+  const auto start = Clock::now();
+  aLeader.mLoop.Post([&] {
+    for (int i = 0; i < aOpen; ++i) {
+      proposer.Propose();
+    }
+  });
+  std::this_thread::sleep_for(kTime);
+  while (proposer.mOpen > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  const double took = SecondsSince(start);
+  std::vector<double>& latencies = proposer.mLatencies;
+  std::sort(latencies.begin(), latencies.end());
+  fmt::print("{} open proposals: {:.0f} per second, p50 {:.2f} ms, p99 {:.2f} ms, {} failed\n",
+             aOpen,
+             static_cast<double>(latencies.size()) / took,
+             latencies[latencies.size() / 2] * 1000,
+             latencies[latencies.size() * 99 / 100] * 1000,
+             proposer.mFailed);
+}
+
+Expected<void>
+MeasureGroup(const std::string& aChart, const std::string& aFolder)
+{
+  constexpr std::uint16_t kFirstPort = 7480;
+  std::vector<LogMember> initial;
+  for (std::uint16_t i = 0; i < 3; ++i) {
+    initial.push_back(
+      { fmt::format("m{}", i), { "127.0.0.1", static_cast<std::uint16_t>(kFirstPort + i) } });
+  }
+  std::vector<std::unique_ptr<MeasuredMember>> members;
+  for (const LogMember& item : initial) {
+    auto member = std::make_unique<MeasuredMember>();
+    auto node = RaftNode::Builder(member->mLoop)
+                  .Name(item.mId)
+                  .Folder(aFolder + "/" + item.mId)
+                  .Address(item.mAddress)
+                  .InitialMembers(initial)
+                  .Machine(CountingMachine(member->mCount))
+                  .ChartFile(aChart)
+                  .Start();
+    if (!node) {
+      return tl::unexpected(node.error());
+    }
+    member->mNode = std::move(*node);
+    members.push_back(std::move(member));
+  }
+  std::atomic<MeasuredMember*> leader{ nullptr };
+  for (const auto& member : members) {
+    MeasuredMember* const raw = member.get();
+    raw->mLoop.AddPeriodic(std::chrono::milliseconds(20), [raw, &leader] {
+      if (raw->mNode && raw->mNode->Status().mLeading) {
+        leader = raw;
+      }
+    });
+    raw->mThread = std::thread([raw] { raw->mLoop.Run(); });
+  }
+  while (leader == nullptr) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  for (const int open : { 1, 16, 64, 256 }) {
+    MeasureProposals(*leader, open);
+  }
+  for (const auto& member : members) {
+    member->mLoop.Stop();
+    member->mThread.join();
+    member->mNode.reset();
+  }
+  return {};
+}
+
+int
+Measure(const Chart& aChart, const std::string& aChartFile, const std::string& aFolder)
+{
+  std::error_code error;
+  if (!std::filesystem::create_directories(aFolder, error)) {
+    fmt::print(stderr, "{} exists already or cannot be created\n", aFolder);
+    return kExitFailure;
+  }
+  auto done = MeasureRestart(aChart, aFolder + "/restart", 100'000);
+  if (done) {
+    done = MeasureGroup(aChartFile, aFolder);
+  }
+  std::filesystem::remove_all(aFolder, error);
+  if (!done) {
+    fmt::print(stderr, "{}\n", done.error().mMessage);
+  }
+  return done ? kExitOk : kExitFailure;
+}
+
 } // namespace
 
 int
@@ -108,10 +303,12 @@
   char* chartFile = nullptr;
   char* first = nullptr;
   char* seed = nullptr;
+  char* measureFolder = nullptr;
   int jobs = 3;
   const poptOption options[] = {
     { "seeds", 0, POPT_ARG_STRING, &first, 0, "run COUNT seeds from FIRST on", "FIRST COUNT" },
     { "seed", 0, POPT_ARG_STRING, &seed, 0, "run one seed and print its trace", "N" },
+    { "measure", 0, POPT_ARG_STRING, &measureFolder, 0, "measure in a new folder", "FOLDER" },
     { "jobs", 0, POPT_ARG_INT, &jobs, 0, "threads (default 3)", "N" },
     { "chart", 0, POPT_ARG_STRING, &chartFile, 0, "chart of the member roles", "FILE" },
     POPT_AUTOHELP POPT_TABLEEND
@@ -120,22 +317,30 @@
     poptGetContext("apricot-schedules", argc, const_cast<const char**>(argv), options, 0);
   const int parsed = poptGetNextOpt(context);
   const char* const count = poptGetArg(context);
-  const bool good = parsed == -1 && (seed != nullptr || (first != nullptr && count != nullptr)) &&
-                    jobs >= 1 && jobs <= 64;
+  const bool good =
+    parsed == -1 &&
+    (seed != nullptr || measureFolder != nullptr || (first != nullptr && count != nullptr)) &&
+    jobs >= 1 && jobs <= 64;
   if (!good) {
     poptPrintUsage(context, stderr, 0);
     return kExitUsage;
   }
   SetLogLevel(LogLevel::Error);
-  const auto chart = LoadChart(chartFile != nullptr ? chartFile : "charts/control_member.toml");
+  const std::string file = chartFile != nullptr ? chartFile : "charts/control_member.toml";
+  const auto chart = LoadChart(file);
   if (!chart || !CheckRaftChart(*chart)) {
     fmt::print(stderr, "{}\n", chart ? "the chart has other states" : chart.error().mMessage);
     return kExitFailure;
   }
-  const int result =
-    seed != nullptr
-      ? RunOne(*chart, std::strtoull(seed, nullptr, 10))
-      : RunMany(*chart, std::strtoull(first, nullptr, 10), std::strtoull(count, nullptr, 10), jobs);
+  int result = kExitOk;
+  if (measureFolder != nullptr) {
+    result = Measure(*chart, file, measureFolder);
+  } else if (seed != nullptr) {
+    result = RunOne(*chart, std::strtoull(seed, nullptr, 10));
+  } else {
+    result =
+      RunMany(*chart, std::strtoull(first, nullptr, 10), std::strtoull(count, nullptr, 10), jobs);
+  }
   poptFreeContext(context);
   return result;
 }
--- a/tests/test_raft_node.cpp
+++ b/tests/test_raft_node.cpp
@@ -2,6 +2,7 @@
 #include "raft_node.h"
 #include "test_address.h"
 
+#include <atomic>
 #include <filesystem>
 #include <future>
 #include <thread>
@@ -97,15 +98,18 @@
       settings.mRaft.mChunkBytes = 64;
       settings.mSnapshotEntries = 20;
       mJournals[aMember] = {};
-      auto node = RaftNode::Builder(mLoop)
-                    .Name(Name(aMember))
-                    .Folder(Folder(aMember))
-                    .Address(Address(aMember))
-                    .InitialMembers(initial)
-                    .Machine(mJournals[aMember].Machine())
-                    .ChartFile(SOURCE_FOLDER "/charts/control_member.toml")
-                    .Settings(settings)
-                    .Start();
+      RaftNode::Builder builder(mLoop);
+      builder.Name(Name(aMember))
+        .Folder(Folder(aMember))
+        .Address(Address(aMember))
+        .InitialMembers(initial)
+        .Machine(mJournals[aMember].Machine())
+        .ChartFile(SOURCE_FOLDER "/charts/control_member.toml")
+        .Settings(settings);
+      if (mCustomise) {
+        mCustomise(builder);
+      }
+      auto node = builder.Start();
       if (!node) {
         return tl::unexpected(node.error());
       }
@@ -114,6 +118,26 @@
     });
   }
 
+  void StartAll(int aMembers)
+  {
+    for (int member = 1; member <= aMembers; ++member) {
+      const auto started = Start(member, aMembers);
+      CPPUNIT_ASSERT_MESSAGE(started ? "" : started.error().mMessage, started.has_value());
+    }
+  }
+
+  // True if the first barrier read that succeeds on the member shows exactly this state. A member
+  // that knows no leader yet refuses reads.
+  bool Holds(int aMember, const std::string& aText)
+  {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    Expected<void> read;
+    do {
+      read = Await([&](auto aDone) { mNodes[aMember]->ReadBarrier(aDone); });
+    } while (!read && std::chrono::steady_clock::now() < end);
+    return read && Call([&] { return mJournals[aMember].mText; }) == aText;
+  }
+
   void Stop(int aMember)
   {
     Call([&] { mNodes.erase(aMember); });
@@ -153,6 +177,7 @@
   }
 
   std::filesystem::path mFolder;
+  std::function<void(RaftNode::Builder&)> mCustomise;
   Loop mLoop;
   std::map<int, Journal> mJournals;
   std::map<int, std::unique_ptr<RaftNode>> mNodes;
@@ -165,16 +190,17 @@
 {
   CPPUNIT_TEST_SUITE(RaftNodeTest);
   CPPUNIT_TEST(ReplicatesAndReadsOnEveryMember);
+  CPPUNIT_TEST(RestartedMemberKeepsEverything);
+  CPPUNIT_TEST(LostDiskIsReplacedThroughALearner);
+  CPPUNIT_TEST(RecoveryMakesOneMemberTheOnlyVoter);
+  CPPUNIT_TEST(FailedSyncStopsTheMember);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   void ReplicatesAndReadsOnEveryMember()
   {
     Group group;
-    for (int member = 1; member <= 3; ++member) {
-      const auto started = group.Start(member, 3);
-      CPPUNIT_ASSERT_MESSAGE(started ? "" : started.error().mMessage, started.has_value());
-    }
+    group.StartAll(3);
     const int leader = group.Leader();
     CPPUNIT_ASSERT(leader != 0);
     const auto outcome = group.Propose(leader, "a");
@@ -193,6 +219,120 @@
       }
     }
   }
+
+  void RestartedMemberKeepsEverything()
+  {
+    Group group;
+    group.StartAll(3);
+    const int leader = group.Leader();
+    std::string expected;
+    for (int i = 0; i < 50; ++i) {
+      expected += std::to_string(i) + ";";
+      CPPUNIT_ASSERT(group.Propose(leader, std::to_string(i)).has_value());
+    }
+    for (int member = 1; member <= 3; ++member) {
+      group.Stop(member);
+    }
+    group.StartAll(3);
+    CPPUNIT_ASSERT(group.Leader() != 0);
+    for (int member = 1; member <= 3; ++member) {
+      CPPUNIT_ASSERT(group.Holds(member, expected));
+    }
+  }
+
+  // The whole way of the design page: remove the identity of the lost disk, add the new one as a
+  // learner, which needs a snapshot, and promote it.
+  void LostDiskIsReplacedThroughALearner()
+  {
+    Group group;
+    group.StartAll(3);
+    std::string expected;
+    for (int i = 0; i < 60; ++i) {
+      expected += std::to_string(i) + ";";
+      CPPUNIT_ASSERT(group.Propose(group.Leader(), std::to_string(i)).has_value());
+    }
+    const int lost = group.Leader() % 3 + 1;
+    const std::string old = group.Call([&] { return group.mNodes[lost]->Status().mSelf; });
+    group.Stop(lost);
+    std::filesystem::remove_all(group.Folder(lost));
+    CPPUNIT_ASSERT(group.Start(lost, 3).has_value());
+    CPPUNIT_ASSERT(old != group.Call([&] { return group.mNodes[lost]->Status().mSelf; }));
+    RaftNode& leader = *group.mNodes[group.Leader()];
+    const LogMember learner{ Group::Name(lost), Group::Address(lost), MemberRole::Learner };
+    const auto added = group.Await([&](auto aDone) { leader.AddLearner(learner, aDone); });
+    CPPUNIT_ASSERT_MESSAGE(added ? "" : added.error().mMessage, added.has_value());
+    const std::string fresh = group.Call([&] { return group.mNodes[lost]->Status().mSelf; });
+    CPPUNIT_ASSERT(group.Until([&] { return group.mJournals[lost].mText == expected; }));
+    // Two members share the name until the old identity is removed.
+    const auto ambiguous =
+      group.Await([&](auto aDone) { leader.Promote(Group::Name(lost), aDone); });
+    CPPUNIT_ASSERT(!ambiguous && ambiguous.error().mResult == Result::UnknownMember);
+    const auto removed = group.Await([&](auto aDone) { leader.Remove(old, aDone); });
+    CPPUNIT_ASSERT_MESSAGE(removed ? "" : removed.error().mMessage, removed.has_value());
+    const auto promoted =
+      group.Await([&](auto aDone) { leader.Promote(Group::Name(lost), aDone); });
+    CPPUNIT_ASSERT_MESSAGE(promoted ? "" : promoted.error().mMessage, promoted.has_value());
+    const LogStatus status = group.Call([&] { return leader.Status(); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, status.mMembers.size());
+    CPPUNIT_ASSERT(std::any_of(status.mMembers.begin(), status.mMembers.end(), [&](auto& aMember) {
+      return aMember.mId == fresh && aMember.mRole == MemberRole::Voter;
+    }));
+  }
+
+  void RecoveryMakesOneMemberTheOnlyVoter()
+  {
+    Group group;
+    group.StartAll(3);
+    CPPUNIT_ASSERT(group.Propose(group.Leader(), "a").has_value());
+    const int survivor = group.Leader();
+    const auto running =
+      RecoverMember(SystemFileOps(), group.Folder(survivor), Group::Address(survivor), 1, false);
+    CPPUNIT_ASSERT(!running && running.error().mResult == Result::StorageLocked);
+    const std::uint64_t last =
+      group.Call([&] { return group.mNodes[survivor]->Status().mLastIndex; });
+    for (int member = 1; member <= 3; ++member) {
+      group.Stop(member);
+    }
+    const auto planned =
+      RecoverMember(SystemFileOps(), group.Folder(survivor), Group::Address(survivor), 1, true);
+    CPPUNIT_ASSERT_MESSAGE(planned ? "" : planned.error().mMessage, planned.has_value());
+    CPPUNIT_ASSERT_EQUAL(last, planned->mLastIndex);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, planned->mOldMembers.size());
+    const auto done =
+      RecoverMember(SystemFileOps(), group.Folder(survivor), Group::Address(survivor), 1, false);
+    CPPUNIT_ASSERT_EQUAL(last, done->mLastIndex);
+    CPPUNIT_ASSERT_EQUAL(planned->mOldIdentity, done->mOldIdentity);
+    CPPUNIT_ASSERT(done->mOldIdentity != done->mNewIdentity);
+    CPPUNIT_ASSERT(group.Start(survivor, 3).has_value());
+    CPPUNIT_ASSERT_EQUAL(survivor, group.Leader());
+    CPPUNIT_ASSERT(group.Propose(survivor, "b").has_value());
+    CPPUNIT_ASSERT(group.Holds(survivor, "a;b;"));
+    CPPUNIT_ASSERT(
+      !RecoverMember(SystemFileOps(), group.Folder(9), Group::Address(9), 1, false).has_value());
+  }
+
+  // After a failed sync the member must not acknowledge anything any more.
+  void FailedSyncStopsTheMember()
+  {
+    Group group;
+    auto broken = std::make_shared<std::atomic<bool>>(false);
+    auto failures = std::make_shared<std::atomic<int>>(0);
+    group.mCustomise = [&](RaftNode::Builder& aBuilder) {
+      FileOps ops = SystemFileOps();
+      ops.mSync = [broken, sync = ops.mSync](int aFd) { return *broken ? -EIO : sync(aFd); };
+      aBuilder.Files(ops).OnFatal([failures](const Error&) { ++*failures; });
+    };
+    group.StartAll(1);
+    const int leader = group.Leader();
+    CPPUNIT_ASSERT(group.Propose(leader, "a").has_value());
+    *broken = true;
+    const auto open = group.Propose(leader, "b");
+    CPPUNIT_ASSERT(!open && open.error().mResult == Result::ProposalUnknown);
+    *broken = false;
+    CPPUNIT_ASSERT(group.Propose(leader, "c").error().mResult == Result::NotLeader);
+    CPPUNIT_ASSERT_EQUAL(1, failures->load());
+    CPPUNIT_ASSERT(!group.Call([&] { return group.mNodes[leader]->Status().mLeading; }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RaftNodeTest);
