Test the administration API, the local log and the tool

Cause: the API and the tool had no test of their refusals. Change: a table of 38 refusals with status and result code, permission, follower, restart with a torn record, heartbeat, claim batches, and the client's redirect and resend. Conclusion: nothing is accepted in the refused cases.

--- /dev/null
+++ b/tests/test_admin.cpp
@@ -0,0 +1,585 @@
+// Guards against an administration call that is accepted with a mistake, without permission or by a
+// member that does not lead, against a change that is lost or made twice when an answer or the
+// process is lost, and against a heartbeat that grants a lease it must not.
+#include "admin.h"
+#include "cmdline.h"
+#include "ctl_api.h"
+#include "ctl_commands.h"
+#include "ctl_explain.h"
+#include "http_client.h"
+#include "local_log.h"
+#include "test_address.h"
+
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <thread>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+using namespace apricotyard;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::uint16_t kPort = 7910;
+const std::string kIp = TestIp(7);
+const std::string kDocument = "[class.check]\ndeadline = \"1s\"\n";
+
+std::string
+WithTeams()
+{
+  return fmt::format("{}[team.admin]\nkey_sha256 = \"{}\"\nsections = [\"*\"]\n"
+                     "[team.desk]\nkey_sha256 = \"{}\"\nsections = [\"class.check\"]\n",
+                     kDocument,
+                     KeySha256("admin"),
+                     KeySha256("desk"));
+}
+
+rpc::ControlHost
+Self()
+{
+  rpc::ControlHost self;
+  self.set_id("control-1");
+  self.set_admin_address(fmt::format("{}:{}", kIp, kPort));
+  self.set_rpc_address(fmt::format("{}:{}", kIp, kPort + 1));
+  return self;
+}
+
+// A member that follows control-2, or knows no leader.
+class FollowerLog final : public ReplicatedLog
+{
+public:
+  explicit FollowerLog(std::string aLeader)
+    : mLeader(std::move(aLeader))
+  {
+  }
+  void Propose(std::string /*aCommand*/, OutcomeHandler aDone) override
+  {
+    aDone(Fail(Result::NotLeader, "follower"));
+  }
+  void ReadBarrier(DoneHandler aDone) override { aDone(Fail(Result::NotLeader, "follower")); }
+  void AddLearner(const LogMember& /*aMember*/, DoneHandler aDone) override { aDone({}); }
+  void Promote(const std::string& /*aMember*/, DoneHandler aDone) override { aDone({}); }
+  void Remove(const std::string& /*aMember*/, DoneHandler aDone) override { aDone({}); }
+  LogStatus Status() const override
+  {
+    LogStatus status;
+    status.mSelf = "control-1";
+    status.mLeader = mLeader;
+    return status;
+  }
+
+private:
+  std::string mLeader;
+};
+
+// A core with a log and the API, in a loop on a thread of its own.
+struct AdminFixture
+{
+  Loop mLoop;
+  ControlCore mCore{ mLoop, Self() };
+  std::unique_ptr<HttpServer> mServer;
+  std::thread mThread;
+
+  explicit AdminFixture(std::unique_ptr<ReplicatedLog> aLog = nullptr,
+                        const std::string& aFolder = "")
+  {
+    if (aLog == nullptr) {
+      auto log = OpenLocalLog(mLoop, aFolder, { "control-1", { kIp, 1 } }, mCore.Machine());
+      CPPUNIT_ASSERT_MESSAGE(log ? "" : log.error().mMessage, log.has_value());
+      aLog = *std::move(log);
+    }
+    mCore.Start(std::move(aLog));
+    auto server = HttpServer::Builder(mLoop, { kIp, kPort })
+                    .MaxBody(kMaxAdminBody)
+                    .OnRequest([this](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+                      HandleAdmin(mCore, aRequest, aRespond);
+                    })
+                    .Start();
+    CPPUNIT_ASSERT_MESSAGE(server ? "" : server.error().mMessage, server.has_value());
+    mServer = *std::move(server);
+    mThread = std::thread([this] { mLoop.Run(); });
+  }
+  ~AdminFixture()
+  {
+    mLoop.Stop();
+    mThread.join();
+  }
+  AdminFixture(const AdminFixture&) = delete;
+  AdminFixture& operator=(const AdminFixture&) = delete;
+
+  // Runs aWork on the loop and returns its result.
+  template<typename Work>
+  auto Do(Work aWork)
+  {
+    std::promise<decltype(aWork(mCore))> result;
+    mLoop.Post([&] { result.set_value(aWork(mCore)); });
+    return result.get_future().get();
+  }
+
+  Revision Newest()
+  {
+    return Do([](ControlCore& aCore) { return NewestRevision(aCore.State()); });
+  }
+
+  std::string State()
+  {
+    return Do([](ControlCore& aCore) { return SaveState(aCore.State()); });
+  }
+
+  AdminReply Call(const std::string& aMethod,
+                  const std::string& aPath,
+                  const std::string& aBody = "",
+                  const std::string& aKey = "")
+  {
+    Loop loop;
+    HttpClient client(loop, "", 1);
+    ClientRequest request;
+    request.mMethod = aMethod;
+    request.mAddress = { kIp, kPort };
+    request.mPath = aPath;
+    request.mBody = aBody;
+    request.mTimeout = std::chrono::seconds(30);
+    if (!aKey.empty()) {
+      request.mHeaders.push_back({ "Authorization", "Bearer " + aKey });
+    }
+    ClientReply result;
+    client.Send(std::move(request), [&](ClientReply aReply) {
+      result = std::move(aReply);
+      loop.Stop();
+    });
+    loop.Run();
+    CPPUNIT_ASSERT_MESSAGE(result.mMessage, result.mEnd == TransferEnd::Complete);
+    return { result.mStatus, Json::parse(result.mBody, nullptr, false), {} };
+  }
+
+  AdminReply Submit(const std::string& aId,
+                    Revision aBase,
+                    const std::string& aDocument,
+                    const std::string& aKey = "")
+  {
+    const Json body{ { "submission_id", aId },
+                     { "base_revision", aBase },
+                     { "document", aDocument },
+                     { "author", "ada" },
+                     { "reason", "test" } };
+    return Call("POST", "/v1/admin/config", body.dump(), aKey);
+  }
+};
+
+void
+Expect(Result aResult, const AdminReply& aReply, const std::string& aContext)
+{
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(aContext + ": " + aReply.Message(),
+                               std::string(Describe(aResult).mName),
+                               std::string(Describe(aReply.Code()).mName));
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(aContext, Describe(aResult).mHttpStatus, aReply.mStatus);
+}
+
+rpc::SyncRequest
+Heartbeat(Revision aRevision)
+{
+  rpc::SyncRequest request;
+  request.set_host("entry-1");
+  request.set_incarnation(5);
+  request.set_data_centre("bolu");
+  request.set_caller_address("127.0.0.1:7200");
+  request.set_revision(aRevision);
+  request.set_held_revision(aRevision);
+  return request;
+}
+
+// A folder of this process that does not exist yet.
+std::string
+FreshFolder(const std::string& aName)
+{
+  const std::string folder =
+    (std::filesystem::temp_directory_path() / fmt::format("apricot-admin-{}-{}", getpid(), aName))
+      .string();
+  std::filesystem::remove_all(folder);
+  return folder;
+}
+
+} // namespace
+
+class AdminTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(AdminTest);
+  CPPUNIT_TEST(RefusesMistakes);
+  CPPUNIT_TEST(RefusesWithoutPermission);
+  CPPUNIT_TEST(FollowerNamesTheLeader);
+  CPPUNIT_TEST(EveryCallAnswers);
+  CPPUNIT_TEST(AcceptedChangesSurviveARestart);
+  CPPUNIT_TEST(HeartbeatGrantsAndRefuses);
+  CPPUNIT_TEST(ClaimsShareALogEntry);
+  CPPUNIT_TEST(ClientFollowsTheLeader);
+  CPPUNIT_TEST(ExplainFindsOnlyTheRequest);
+  CPPUNIT_TEST(ToolTextsAreSafe);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void RefusesMistakes()
+  {
+    struct Case
+    {
+      const char* mMethod;
+      const char* mPath;
+      const char* mBody;
+      Result mResult;
+    };
+    const Case cases[] = {
+      { "GET", "/v1/admin", "", Result::NotFound },
+      { "GET", "/v1/admin/status/", "", Result::NotFound },
+      { "POST", "/v1/admin/status", "{}", Result::MethodNotAllowed },
+      { "DELETE", "/v1/admin/config", "", Result::MethodNotAllowed },
+      { "GET", "/v1/admin/config?revision=x", "", Result::BadRequest },
+      { "GET", "/v1/admin/config?revision=-1", "", Result::BadRequest },
+      { "GET", "/v1/admin/config?revision=9", "", Result::UnknownRevision },
+      { "GET", "/v1/admin/config/diff?from=9", "", Result::UnknownRevision },
+      { "GET", "/v1/admin/config/diff?to=99999999999999999999", "", Result::BadRequest },
+      { "GET", "/v1/admin/config/history?limit=many", "", Result::BadRequest },
+      { "POST", "/v1/admin/config", "", Result::BadRequest },
+      { "POST", "/v1/admin/config", "[class.check]", Result::BadRequest },
+      { "POST", "/v1/admin/config", "{}", Result::BadRequest },
+      { "POST", "/v1/admin/config", "[[[[[[[[", Result::BadRequest },
+      { "POST",
+        "/v1/admin/config",
+        R"({"submission_id":"submission-1","base_revision":-1,"document":"","author":"a","reason":"r"})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/config",
+        R"({"submission_id":"submission-1","base_revision":1.5,"document":"","author":"a","reason":"r"})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/config",
+        R"({"submission_id":7,"base_revision":0,"document":"","author":"a","reason":"r"})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/config",
+        R"({"submission_id":"submission-1","base_revision":0,"document":"","author":"a","reason":"r","colour":1})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/config",
+        R"({"submission_id":"short","base_revision":0,"document":"","author":"a","reason":"r"})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/config",
+        R"({"submission_id":"submission-1","base_revision":0,"document":"","author":"","reason":"r"})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/config",
+        R"({"submission_id":"submission-1","base_revision":0,"document":"[class.","author":"a","reason":"r"})",
+        Result::InvalidDocument },
+      { "POST",
+        "/v1/admin/config",
+        R"({"submission_id":"submission-2","base_revision":0,"document":"\u0000","author":"a","reason":"r"})",
+        Result::InvalidDocument },
+      { "POST",
+        "/v1/admin/config",
+        R"({"submission_id":"submission-3","base_revision":8,"document":"","author":"a","reason":"r"})",
+        Result::UnknownRevision },
+      { "POST", "/v1/admin/config/validate", R"({"document":1})", Result::BadRequest },
+      { "POST",
+        "/v1/admin/config/rollback",
+        R"({"submission_id":"submission-4","to_revision":1,"author":"a","reason":"r"})",
+        Result::ConfirmationNeeded },
+      { "POST",
+        "/v1/admin/config/rollback",
+        R"({"submission_id":"submission-4","to_revision":1,"author":"a","reason":"r","yes":"true"})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/config/rollback",
+        R"({"submission_id":"submission-5","to_revision":0,"author":"a","reason":"r","yes":true})",
+        Result::UnknownRevision },
+      { "POST",
+        "/v1/admin/entries/gone",
+        R"({"host":"entry-1","author":"a","reason":"r"})",
+        Result::ConfirmationNeeded },
+      { "POST",
+        "/v1/admin/entries/gone",
+        R"({"host":"entry-1","author":"a","reason":"r","yes":true})",
+        Result::NotFound },
+      { "POST",
+        "/v1/admin/members/add",
+        R"({"id":"control-2","address":"host:1","author":"a","reason":"r"})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/members/add",
+        R"({"id":"control-2","address":"127.0.0.1:1","author":"a","reason":"r"})",
+        Result::BadRequest },
+      { "POST", "/v1/admin/members/promote", R"({"author":"a","reason":"r"})", Result::BadRequest },
+      { "POST",
+        "/v1/admin/members/remove",
+        R"({"id":"control-1","author":"a","reason":"r"})",
+        Result::ConfirmationNeeded },
+      { "POST",
+        "/v1/admin/quarantine/lift",
+        R"({"collection":"desk","fingerprint":"xyz","author":"a","reason":"r"})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/quarantine/lift",
+        R"({"collection":"desk","fingerprint":"0f","author":"a","reason":"r"})",
+        Result::NotFound },
+      { "POST",
+        "/v1/admin/upstreams/drain",
+        R"({"upstream":"u1","author":"a","reason":"r"})",
+        Result::ConfirmationNeeded },
+      { "POST",
+        "/v1/admin/upstreams/drain",
+        R"({"upstream":"","author":"a","reason":"r","yes":true})",
+        Result::BadRequest },
+      { "POST",
+        "/v1/admin/upstreams/undrain",
+        R"({"upstream":"u1","author":"a","reason":"r"})",
+        Result::NoChange },
+    };
+    AdminFixture fixture;
+    for (const Case& c : cases) {
+      Expect(
+        c.mResult, fixture.Call(c.mMethod, c.mPath, c.mBody), std::string(c.mPath) + " " + c.mBody);
+    }
+    CPPUNIT_ASSERT_EQUAL(Revision{ 0 }, fixture.Newest());
+    CPPUNIT_ASSERT_EQUAL(
+      413, fixture.Call("POST", "/v1/admin/config", std::string(kMaxAdminBody + 1, 'x')).mStatus);
+  }
+
+  void RefusesWithoutPermission()
+  {
+    AdminFixture fixture;
+    Expect(Result::Ok, fixture.Submit("submission-1", 0, WithTeams()), "first");
+    const std::string drain = R"({"upstream":"u1","author":"a","reason":"r","yes":true})";
+    const std::string member = R"({"id":"control-2","author":"a","reason":"r"})";
+    Expect(Result::Unauthorized, fixture.Call("GET", "/v1/admin/config"), "no key");
+    Expect(Result::Unauthorized, fixture.Call("GET", "/v1/admin/audit", "", "wrong"), "wrong key");
+    Expect(Result::Unauthorized, fixture.Submit("submission-2", 1, kDocument), "no key");
+    // Nothing about the fields is told to a caller without a key.
+    Expect(Result::Unauthorized, fixture.Call("POST", "/v1/admin/config", "{"), "no key");
+    Expect(
+      Result::Forbidden, fixture.Submit("submission-3", 1, kDocument, "desk"), "other sections");
+    Expect(
+      Result::Forbidden, fixture.Call("POST", "/v1/admin/upstreams/drain", drain, "desk"), "drain");
+    Expect(Result::Forbidden,
+           fixture.Call("POST", "/v1/admin/members/promote", member, "desk"),
+           "members");
+    Expect(Result::Ok, fixture.Call("POST", "/v1/admin/upstreams/drain", drain, "admin"), "drain");
+    Expect(Result::Ok, fixture.Call("GET", "/v1/admin/config", "", "desk"), "read");
+    CPPUNIT_ASSERT_EQUAL(Revision{ 1 }, fixture.Newest());
+  }
+
+  void FollowerNamesTheLeader()
+  {
+    {
+      AdminFixture unknown(std::make_unique<FollowerLog>(""));
+      Expect(Result::NoLeader, unknown.Submit("submission-1", 0, kDocument), "no leader");
+    }
+    AdminFixture fixture(std::make_unique<FollowerLog>("control-2"));
+    rpc::Command command;
+    command.mutable_control_host()->set_id("control-2");
+    command.mutable_control_host()->set_admin_address("127.0.0.9:7100");
+    command.mutable_control_host()->set_rpc_address("127.0.0.9:7101");
+    fixture.Do(
+      [&](ControlCore& aCore) { return aCore.Machine().mApply(1, command.SerializeAsString()); });
+    const AdminReply reply = fixture.Submit("submission-1", 0, kDocument);
+    Expect(Result::NotLeader, reply, "follower");
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.9:7100"), reply.mBody.value("leader", ""));
+    CPPUNIT_ASSERT_EQUAL(false,
+                         fixture.Call("GET", "/v1/admin/status").mBody.value("leading", true));
+    const auto sync =
+      fixture.Do([](ControlCore& aCore) { return aCore.Sync(Heartbeat(0), SteadyNow()); });
+    CPPUNIT_ASSERT(sync.has_value() && !sync->leading() && sync->document().empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.9:7101"), sync->leader());
+  }
+
+  void EveryCallAnswers()
+  {
+    AdminFixture fixture;
+    Expect(Result::Ok, fixture.Submit("submission-1", 0, kDocument), "submit");
+    Expect(Result::Ok,
+           fixture.Submit("submission-2", 1, "[class.check]\ndeadline = \"2s\"\n"),
+           "submit");
+    const AdminReply again =
+      fixture.Submit("submission-2", 1, "[class.check]\ndeadline = \"2s\"\n");
+    Expect(Result::Ok, again, "resend");
+    CPPUNIT_ASSERT(again.mBody.value("resent", false) && again.mBody.value("revision", 0) == 2);
+    const AdminReply conflict =
+      fixture.Submit("submission-3", 1, "[class.check]\ndeadline = \"3s\"\n");
+    Expect(Result::SectionConflict, conflict, "conflict");
+    CPPUNIT_ASSERT_EQUAL(std::string("ada"), conflict.mBody["conflicts"][0].value("author", ""));
+    const std::string rollback =
+      R"({"submission_id":"submission-4","to_revision":1,"author":"a","reason":"r","yes":true})";
+    Expect(Result::Ok, fixture.Call("POST", "/v1/admin/config/rollback", rollback), "rollback");
+    CPPUNIT_ASSERT_EQUAL(kDocument,
+                         fixture.Call("GET", "/v1/admin/config").mBody.value("document", ""));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 },
+                         fixture.Call("GET", "/v1/admin/config/history").mBody["entries"].size());
+    const AdminReply diff = fixture.Call("GET", "/v1/admin/config/diff?from=1&to=2");
+    CPPUNIT_ASSERT(diff.mBody.value("difference", "").find("+deadline = \"2s\"") !=
+                   std::string::npos);
+    const AdminReply invalid =
+      fixture.Call("POST", "/v1/admin/config/validate", R"({"document":"[class.x]\n"})");
+    CPPUNIT_ASSERT(!invalid.mBody.value("valid", true) && invalid.mBody["problems"].size() == 1);
+    for (const char* const path :
+         { "status", "entries", "members", "quarantine", "upstreams", "audit" }) {
+      Expect(Result::Ok, fixture.Call("GET", std::string("/v1/admin/") + path), path);
+    }
+  }
+
+  void AcceptedChangesSurviveARestart()
+  {
+    const std::string folder = FreshFolder("restart");
+    {
+      AdminFixture fixture(nullptr, folder);
+      Expect(Result::Ok, fixture.Submit("submission-1", 0, kDocument), "submit");
+    }
+    // A crash in the middle of a write leaves a torn record.
+    std::ofstream(folder + "/commands", std::ios::app) << std::string("\x20\0\0\0\0\0\0\0torn", 12);
+    std::string state;
+    {
+      AdminFixture fixture(nullptr, folder);
+      CPPUNIT_ASSERT_EQUAL(Revision{ 1 }, fixture.Newest());
+      const AdminReply again = fixture.Submit("submission-1", 0, kDocument);
+      CPPUNIT_ASSERT(again.mBody.value("resent", false));
+      state = fixture.State();
+    }
+    AdminFixture fixture(nullptr, folder);
+    CPPUNIT_ASSERT_EQUAL(state, fixture.State());
+    std::filesystem::remove_all(folder);
+  }
+
+  void HeartbeatGrantsAndRefuses()
+  {
+    AdminFixture fixture;
+    Expect(Result::Ok, fixture.Submit("submission-1", 0, kDocument), "submit");
+    const TimePoint now = SteadyNow();
+    const auto sync = [&](const rpc::SyncRequest& aRequest) {
+      return fixture.Do([&](ControlCore& aCore) { return aCore.Sync(aRequest, now); });
+    };
+    const auto first = sync(Heartbeat(0));
+    CPPUNIT_ASSERT(first.has_value() && first->leading());
+    CPPUNIT_ASSERT_EQUAL(kDocument, first->document());
+    CPPUNIT_ASSERT(sync(Heartbeat(1))->document().empty());
+    rpc::SyncRequest bad = Heartbeat(1);
+    bad.set_incarnation(4);
+    CPPUNIT_ASSERT(!sync(bad).has_value());
+    bad = Heartbeat(1);
+    bad.set_caller_address("elsewhere");
+    CPPUNIT_ASSERT(!sync(bad).has_value());
+    bad = Heartbeat(1);
+    bad.set_host(std::string(65, 'x'));
+    CPPUNIT_ASSERT(!sync(bad).has_value());
+    // The clock of this check is a minute ahead, so that no lease is left.
+    const Revision inForce = fixture.Do([&](ControlCore& aCore) {
+      aCore.Tick(now + std::chrono::minutes(1));
+      return aCore.Authority().mInForce;
+    });
+    CPPUNIT_ASSERT_EQUAL(Revision{ 1 }, inForce);
+  }
+
+  void ClaimsShareALogEntry()
+  {
+    AdminFixture fixture;
+    Expect(Result::Ok, fixture.Submit("submission-1", 0, kDocument), "submit");
+    std::promise<std::uint64_t> finished;
+    int granted = 0;
+    int held = 0;
+    fixture.mLoop.Post([&] {
+      const std::uint64_t before = fixture.mCore.Status().mApplied;
+      for (int i = 0; i < 100; ++i) {
+        rpc::Claim claim;
+        claim.set_key(fmt::format("1.random-key-{}", i % 50));
+        claim.set_host("entry-1");
+        claim.set_claim_id(i + 1);
+        fixture.mCore.Claim(claim, [&, before](const rpc::ClaimReply& aReply) {
+          granted += aReply.result() == 0 ? 1 : 0;
+          held += aReply.result() == static_cast<std::uint32_t>(Result::ClaimHeld) ? 1 : 0;
+          if (granted + held == 100) {
+            finished.set_value(fixture.mCore.Status().mApplied - before);
+          }
+        });
+      }
+    });
+    // The loop's periodic decisions may add entries of their own.
+    CPPUNIT_ASSERT(finished.get_future().get() < 10);
+    CPPUNIT_ASSERT_EQUAL(50, granted);
+    CPPUNIT_ASSERT_EQUAL(50, held);
+  }
+
+  // One address is dead, one member follows, one leads and loses its first answer.
+  void ClientFollowsTheLeader()
+  {
+    Loop loop;
+    int submissions = 0;
+    std::vector<std::string> ids;
+    const auto start = [&](std::uint16_t aPort, HttpHandler aHandler) {
+      auto server =
+        HttpServer::Builder(loop, { kIp, aPort }).OnRequest(std::move(aHandler)).Start();
+      CPPUNIT_ASSERT(server.has_value());
+      return *std::move(server);
+    };
+    const auto follower = start(7921, [&](const HttpRequest&, const HttpResponder& aRespond) {
+      const Json body{ { "result", { { "code", 200 }, { "message", "" } } },
+                       { "leader", fmt::format("{}:7922", kIp) } };
+      aRespond({ 421, body.dump() });
+    });
+    const auto leader =
+      start(7922, [&](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+        ids.push_back(Json::parse(aRequest.mBody).value("submission_id", ""));
+        const bool lose = ++submissions == 1;
+        aRespond({ lose ? 504 : 200,
+                   lose ? R"({"result":{"code":208,"message":"lost"}})"
+                        : R"({"result":{"code":0,"message":""},"revision":7})" });
+      });
+    std::thread server([&] { loop.Run(); });
+    AdminTarget target;
+    target.mAddresses = { { kIp, 7920 }, { kIp, 7921 } };
+    const Json body{ { "submission_id", "submission-1" } };
+    const auto reply = CallAdmin(target, "POST", "/v1/admin/config", body, Resend::Safe);
+    submissions = 0;
+    const auto unsafe = CallAdmin(target, "POST", "/v1/admin/config", body, Resend::Never);
+    loop.Stop();
+    server.join();
+    CPPUNIT_ASSERT(reply.has_value());
+    CPPUNIT_ASSERT_EQUAL(7, reply->mBody.value("revision", 0));
+    CPPUNIT_ASSERT(ids.size() == 3 && ids[0] == "submission-1" && ids[1] == ids[0]);
+    CPPUNIT_ASSERT(!unsafe && unsafe.error().mResult == Result::ControlOutcomeUnknown);
+  }
+
+  void ExplainFindsOnlyTheRequest()
+  {
+    const std::vector<std::string> path = ExplainRequest(
+      {
+        "2026-01-01T00:00:02Z level=info program=p event=1104 name=QueryAnswered request=r1 "
+        "message=\"a \\\"b\\\" c\"",
+        "2026-01-01T00:00:01Z level=info program=p event=1101 name=QueryDispatched request=r1 "
+        "shards=2",
+        "2026-01-01T00:00:01Z level=info program=p event=1101 name=QueryDispatched request=r10 "
+        "shards=2",
+        "2026-01-01T00:00:01Z level=info program=p event=1102 name=SubrequestSent request=\"x "
+        "request=r1\"",
+        "=r1 = broken \"",
+      },
+      "r1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, path.size());
+    CPPUNIT_ASSERT(path[0].find("QueryDispatched") != std::string::npos);
+    CPPUNIT_ASSERT(path[1].ends_with("message=a \"b\" c"));
+  }
+
+  void ToolTextsAreSafe()
+  {
+    CPPUNIT_ASSERT_EQUAL(std::string("a    b\nxyz  ?[31m\n"),
+                         FormatTable({ { "a", "b" }, { "xyz", "\x1b[31m" } }));
+    CPPUNIT_ASSERT(ExportedRevision(ExportHeader(12) + kDocument) == Revision{ 12 });
+    for (const char* const text :
+         { "", "# apricotyard revision ", "# apricotyard revision 1x\n", "[a]" }) {
+      CPPUNIT_ASSERT_MESSAGE(text, !ExportedRevision(text));
+    }
+    CPPUNIT_ASSERT_EQUAL(kExitUsage, RunCommand({}, { "status" }));
+    CPPUNIT_ASSERT_EQUAL(kExitUsage, RunCommand({}, { "members", "add", "only-id" }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdminTest);
