--- a/src/directory.h
+++ b/src/directory.h
@@ -22,9 +22,10 @@
 
 // An upstream that does not renew within this time is no longer listed.
 inline constexpr Duration kUpstreamLease = std::chrono::seconds(6);
-// The registrar ends the lease a little early, so that every host has learned of a silent upstream
-// when its lease is over: 250 ms between checks, 50 ms to the next push and the delay of the links.
-inline constexpr Duration kRegistrarLease = std::chrono::milliseconds(5500);
+// The registrar ends the lease early, so that every host has learned of a silent upstream when its
+// lease is over: 250 ms between checks and, at 780 hosts, up to 1 s until the last host knows. An
+// upstream that renews every 2 s and waits 1 s for an answer can still try two other hosts.
+inline constexpr Duration kRegistrarLease = std::chrono::milliseconds(4750);
 // A record that is gone or whose lease ended is kept this long, so that an old announcement cannot
 // revive it. At 2,100 restarts a day this is about 2,100 records of 200 bytes.
 inline constexpr Duration kRecordKeep = std::chrono::hours(24);
--- a/src/discovery_node.cpp
+++ b/src/discovery_node.cpp
@@ -552,6 +552,7 @@
       }
       if (!mPulling) {
         if (const auto peer = NextDigestPeer(mGossip, now, mRng)) {
+          OnProbeSent(mDetector, *peer, now);
           StartPull(*peer);
         }
       }
@@ -592,12 +593,17 @@
     for (const PeerChange& change : actions.mChanges) {
       OnPeerChange(change);
     }
-    // Above the bound a peer is rarely heard directly; one that nobody suspects counts as heard.
-    if (mDetector.mPeers.size() > kProbeAllPeers && !IsIsolated(mDetector, aNow)) {
-      for (const auto& [name, peer] : mDetector.mPeers) {
-        if (peer.mState == PeerState::Alive && peer.mIncarnation != 0) {
-          VouchRegistrar(mDirectory, name, peer.mIncarnation, aNow);
-        }
+  }
+
+  // Above the bound a peer is rarely heard directly; one that nobody suspects counts as heard.
+  void VouchUnsuspected(TimePoint aNow)
+  {
+    if (mDetector.mPeers.size() <= kProbeAllPeers || IsIsolated(mDetector, aNow)) {
+      return;
+    }
+    for (const auto& [name, peer] : mDetector.mPeers) {
+      if (peer.mState == PeerState::Alive && peer.mIncarnation != 0) {
+        VouchRegistrar(mDirectory, name, peer.mIncarnation, aNow);
       }
     }
   }
@@ -605,6 +611,7 @@
   void CheckLeases()
   {
     const TimePoint now = SteadyNow();
+    VouchUnsuspected(now);
     for (const UpstreamInfo& info : ExpireLeases(mDirectory, now)) {
       LogEvent(Event::UpstreamExpired,
                { { "upstream", info.mId }, { "service", info.mService } });
--- a/src/failure_detector.cpp
+++ b/src/failure_detector.cpp
@@ -1,7 +1,6 @@
 #include "failure_detector.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 
 namespace apricotyard {
@@ -19,6 +18,7 @@
 Spread(Detector& aDetector, const Rumour& aRumour)
 {
   aDetector.mRumours[aRumour.mSubject] = { aRumour, kRumourSends };
+  aDetector.mUrgentRounds = kUrgentRounds;
 }
 
 std::optional<PeerChange>
@@ -43,9 +43,7 @@
 std::string
 RandomPeer(const Detector& aDetector, Rng& aRng)
 {
-  auto peer = aDetector.mPeers.begin();
-  std::advance(peer, aRng() % aDetector.mPeers.size());
-  return peer->first;
+  return aDetector.mNames[aRng() % aDetector.mNames.size()];
 }
 
 void
@@ -68,8 +66,13 @@
 }
 
 void
-Ping(const std::string& aName, DetectorPeer& aPeer, TimePoint aNow, DetectorActions& aActions)
+Ping(Detector& aDetector,
+     const std::string& aName,
+     DetectorPeer& aPeer,
+     TimePoint aNow,
+     DetectorActions& aActions)
 {
+  aDetector.mWatched.insert(aName);
   aPeer.mNextProbe = aNow + kProbeInterval;
   if (!aPeer.mProbedSince) {
     aPeer.mProbedSince = aNow;
@@ -102,7 +105,7 @@
   }
   // Later probes find a peer that returned; a dead one is probed only in its turn.
   if (aNow >= aPeer.mNextProbe && aPeer.mState != PeerState::Dead) {
-    Ping(aName, aPeer, aNow, aActions);
+    Ping(aDetector, aName, aPeer, aNow, aActions);
     if (unanswered >= kIndirectAfter) {
       ProbeIndirectly(aDetector, aName, aRng, aActions);
     }
@@ -113,20 +116,22 @@
 StartRound(Detector& aDetector, TimePoint aNow, Rng& aRng, DetectorActions& aActions)
 {
   // The first round falls at a random time, so that hosts that start together do not probe at once.
+  const bool few = aDetector.mPeers.size() <= kProbeAllPeers;
+  const Duration interval = few ? kProbeInterval : 2 * kProbeInterval;
   const bool first = aDetector.mNextRound == TimePoint{};
-  aDetector.mNextRound = aNow + kProbeInterval * static_cast<std::int64_t>(900 + aRng() % 201) / 1000;
+  aDetector.mNextRound = aNow + interval * static_cast<std::int64_t>(900 + aRng() % 201) / 1000;
   if (first) {
-    aDetector.mNextRound = aNow + kProbeInterval * static_cast<std::int64_t>(aRng() % 1000) / 1000;
+    aDetector.mNextRound = aNow + interval * static_cast<std::int64_t>(aRng() % 1000) / 1000;
     return;
   }
-  if (aDetector.mPeers.size() > kProbeAllPeers) {
+  if (!few) {
     const std::string name = RandomPeer(aDetector, aRng);
-    Ping(name, aDetector.mPeers.at(name), aNow, aActions);
+    Ping(aDetector, name, aDetector.mPeers.at(name), aNow, aActions);
     return;
   }
   for (auto& [name, peer] : aDetector.mPeers) {
     if (!peer.mProbedSince || peer.mState == PeerState::Dead) {
-      Ping(name, peer, aNow, aActions);
+      Ping(aDetector, name, peer, aNow, aActions);
     }
   }
 }
@@ -171,13 +176,22 @@
     }
   }
   aDetector.mPeers = std::move(peers);
+  aDetector.mNames.clear();
+  aDetector.mWatched.clear();
+  for (const auto& [name, peer] : aDetector.mPeers) {
+    aDetector.mNames.push_back(name);
+    aDetector.mWatched.insert(name);
+  }
 }
 
 DetectorActions
 DetectorTick(Detector& aDetector, TimePoint aNow, Rng& aRng)
 {
   DetectorActions actions;
-  for (auto& [name, peer] : aDetector.mPeers) {
+  // A copy, because judging a peer may watch it again.
+  const std::vector<std::string> watched(aDetector.mWatched.begin(), aDetector.mWatched.end());
+  for (const std::string& name : watched) {
+    DetectorPeer& peer = aDetector.mPeers.at(name);
     if (peer.mProbedSince) {
       Judge(aDetector, name, peer, aNow, aRng, actions);
     } else if (peer.mState == PeerState::Suspect && aNow - peer.mSuspectSince >= kDeadAfter) {
@@ -186,13 +200,34 @@
         actions.mChanges.push_back(*change);
       }
     }
+    if (peer.mState == PeerState::Dead || (!peer.mProbedSince && peer.mState == PeerState::Alive)) {
+      aDetector.mWatched.erase(name);
+    }
   }
   if (aNow >= aDetector.mNextRound && !aDetector.mPeers.empty()) {
     StartRound(aDetector, aNow, aRng, actions);
   }
+  if (aDetector.mUrgentRounds > 0 && aNow >= aDetector.mNextUrgent) {
+    --aDetector.mUrgentRounds;
+    aDetector.mNextUrgent = aNow + kUrgentInterval;
+    for (std::size_t i = 0; i < kUrgentPings && !aDetector.mPeers.empty(); ++i) {
+      actions.mPings.push_back(RandomPeer(aDetector, aRng));
+    }
+  }
   return actions;
 }
 
+void
+OnProbeSent(Detector& aDetector, const std::string& aPeer, TimePoint aNow)
+{
+  const auto peer = aDetector.mPeers.find(aPeer);
+  if (peer != aDetector.mPeers.end() && !peer->second.mProbedSince) {
+    peer->second.mProbedSince = aNow;
+    peer->second.mNextProbe = aNow + kProbeInterval;
+    aDetector.mWatched.insert(aPeer);
+  }
+}
+
 std::optional<PeerChange>
 OnHeard(Detector& aDetector, const std::string& aPeer, std::uint64_t aIncarnation, TimePoint aNow)
 {
@@ -244,13 +279,21 @@
     Spread(aDetector, aRumour);
     return Apply(aDetector, aRumour.mSubject, peer, kRefuted, aNow);
   }
-  if (offered < known || aNow - peer.mHeardAt < kSuspectAfter) {
+  if (offered < known) {
+    return std::nullopt;
+  }
+  if (aNow - peer.mHeardAt < kSuspectAfter) {
+    if (!peer.mProbedSince) {
+      peer.mProbedSince = peer.mNextProbe = aNow;
+      aDetector.mWatched.insert(aRumour.mSubject);
+    }
     return std::nullopt;
   }
   peer.mIncarnation = aRumour.mIncarnation;
   peer.mDenial = aRumour.mDenial;
   const auto change = Apply(aDetector, aRumour.mSubject, peer, kReported, aNow);
   if (change) {
+    aDetector.mWatched.insert(aRumour.mSubject);
     Spread(aDetector, { aRumour.mSubject, peer.mIncarnation, peer.mDenial, PeerState::Suspect });
   }
   return change;
--- a/src/failure_detector.h
+++ b/src/failure_detector.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,13 +21,19 @@
 inline constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 // Without an answer for this time, other hosts are asked to probe. One-way delays are 4 ms.
 inline constexpr Duration kIndirectAfter = std::chrono::milliseconds(400);
-// The times below add up to less than the lease of 6 s: 0.5 s until some host probes, 1.5 s until
-// it suspects, about 1 s until all know, 1.5 s until the peer is dead.
-inline constexpr Duration kSuspectAfter = std::chrono::milliseconds(1500);
-inline constexpr Duration kDeadAfter = std::chrono::milliseconds(1500);
+// The times below add up to less than the lease of 6 s: at 780 hosts 0.5 s on average until some host
+// probes, 1.25 s until it suspects, 0.5 s until all know, 1.25 s until the peer is dead.
+inline constexpr Duration kSuspectAfter = std::chrono::milliseconds(1250);
+inline constexpr Duration kDeadAfter = std::chrono::milliseconds(1250);
 inline constexpr std::size_t kIndirectProbes = 3;
-// Up to this number of peers each is probed in every round, above it one random peer.
+// Up to this number of peers each is probed in every round. Above it a round is twice as long and
+// probes one random peer, and the digest exchange of each second counts as another probe.
 inline constexpr std::size_t kProbeAllPeers = 16;
+// A new rumour causes extra pings at once, as with heartbeats alone it took 12 s to reach 100 hosts
+// and a denial came too late: pings in a round, rounds, and time between them.
+inline constexpr std::size_t kUrgentPings = 4;
+inline constexpr std::uint32_t kUrgentRounds = 3;
+inline constexpr Duration kUrgentInterval = std::chrono::milliseconds(50);
 // Rumours in one message, and the number of messages that carry each.
 inline constexpr std::size_t kMaxRumours = 8;
 inline constexpr std::uint32_t kRumourSends = 30;
@@ -82,8 +89,14 @@
   std::uint64_t mIncarnation = 0;
   std::uint64_t mDenial = 0;
   std::map<std::string, DetectorPeer> mPeers;
+  // The names of mPeers, for random choice.
+  std::vector<std::string> mNames;
+  // Peers with an unanswered probe or a suspicion; a tick looks only at these.
+  std::set<std::string> mWatched;
   std::map<std::string, HeldRumour> mRumours;
   TimePoint mNextRound;
+  std::uint32_t mUrgentRounds = 0;
+  TimePoint mNextUrgent;
 };
 
 struct IndirectProbe
@@ -113,13 +126,17 @@
 DetectorActions
 DetectorTick(Detector& aDetector, TimePoint aNow, Rng& aRng);
 
+// Another message that expects an answer was sent to the peer; it counts as a probe.
+void
+OnProbeSent(Detector& aDetector, const std::string& aPeer, TimePoint aNow);
+
 // A message or answer of a peer arrived, directly or through another host. Returns the change of
 // its state, if any.
 std::optional<PeerChange>
 OnHeard(Detector& aDetector, const std::string& aPeer, std::uint64_t aIncarnation, TimePoint aNow);
 
 // A rumour arrived. One about this host is denied. One about a peer that was heard within
-// kSuspectAfter is ignored, so that an isolated host cannot make others suspects.
+// kSuspectAfter only causes a probe, so that an isolated host cannot make others suspects.
 std::optional<PeerChange>
 OnRumour(Detector& aDetector, const Rumour& aRumour, TimePoint aNow);
 
