--- a/src/address_answer.cpp
+++ b/src/address_answer.cpp
@@ -45,8 +45,8 @@
            std::tie(aRight.mRemote, aRight.mKey, aRight.mHost.mName);
   });
   if (ranked.size() > kMaxAddresses) {
-    const auto remote = std::find_if(
-      ranked.begin(), ranked.end(), [](const Ranked& aHost) { return aHost.mRemote; });
+    const auto remote =
+      std::find_if(ranked.begin(), ranked.end(), [](const Ranked& aHost) { return aHost.mRemote; });
     // A caller keeps an address elsewhere for the loss of its own data centre.
     if (remote >= ranked.begin() + kMaxAddresses && remote != ranked.end()) {
       std::iter_swap(ranked.begin() + kMaxAddresses - 1, remote);
--- a/src/address_answer.h
+++ b/src/address_answer.h
@@ -13,7 +13,8 @@
 
 // How long a caller may use an address answer. A stopping host serves at least this long.
 inline constexpr std::chrono::seconds kAddressLifetime{ 5 };
-// Addresses in one answer. A caller needs a few to fail over, and a short answer stays in one packet.
+// Addresses in one answer. A caller needs a few to fail over, and a short answer stays in one
+// packet.
 inline constexpr std::size_t kMaxAddresses = 6;
 // Name of the header that forbids a second hop, in lower case.
 inline constexpr const char* kHeaderForwarded = "x-forwarded-by-entry";
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -111,8 +111,7 @@
       }
       return AnnounceOutcome::Stale;
     }
-    if (IsOwn(aDirectory, held) && !held.mGone &&
-        held.mInfo.mIncarnation == aInfo.mIncarnation &&
+    if (IsOwn(aDirectory, held) && !held.mGone && held.mInfo.mIncarnation == aInfo.mIncarnation &&
         ContentOf(held.mInfo) == ContentOf(aInfo)) {
       held.mLastSequence = aInfo.mSequence;
       held.mVouchedAt = aNow;
--- a/src/discovery_node.cpp
+++ b/src/discovery_node.cpp
@@ -29,9 +29,11 @@
 constexpr ChartEvent kLeaseLost = 1;
 constexpr ChartEvent kStop = 2;
 
-constexpr std::string_view kHostStates[] = {
-  "joining", "serving", "suspended", "leaving", "stopped"
-};
+constexpr std::string_view kHostStates[] = { "joining",
+                                             "serving",
+                                             "suspended",
+                                             "leaving",
+                                             "stopped" };
 
 struct KnownPeer
 {
@@ -69,10 +71,9 @@
 {
   auto chart = LoadChart(aPath);
   if (chart) {
-    const auto names =
-      CheckNames(*chart,
-                 { std::begin(kHostStates), std::end(kHostStates) },
-                 { "admitted", "lease_lost", "stop", "finished" });
+    const auto names = CheckNames(*chart,
+                                  { std::begin(kHostStates), std::end(kHostStates) },
+                                  { "admitted", "lease_lost", "stop", "finished" });
     if (!names) {
       return tl::unexpected(names.error());
     }
@@ -297,8 +298,8 @@
       const Rumour rumour{ item.subject(),
                            item.incarnation(),
                            item.denial(),
-                           static_cast<PeerState>(std::min(
-                             item.state(), static_cast<std::uint32_t>(PeerState::Dead))) };
+                           static_cast<PeerState>(
+                             std::min(item.state(), static_cast<std::uint32_t>(PeerState::Dead))) };
       OnPeerChange(OnRumour(mDetector, rumour, SteadyNow()));
     }
     std::vector<ViewReport> reports;
@@ -378,8 +379,8 @@
     for (const std::string& upstream : TakeChanges(mDirectory)) {
       const auto record = mDirectory.mRecords.find(upstream);
       // A record of this host is pushed even if a message of a peer made this host raise it.
-      const bool own = record != mDirectory.mRecords.end() &&
-                       record->second.mRegistrar == mIdentity.mHost;
+      const bool own =
+        record != mDirectory.mRecords.end() && record->second.mRegistrar == mIdentity.mHost;
       QueueChange(mGossip, upstream, aLocal || own);
       mUpstreamsDirty = true;
     }
@@ -613,8 +614,7 @@
     const TimePoint now = SteadyNow();
     VouchUnsuspected(now);
     for (const UpstreamInfo& info : ExpireLeases(mDirectory, now)) {
-      LogEvent(Event::UpstreamExpired,
-               { { "upstream", info.mId }, { "service", info.mService } });
+      LogEvent(Event::UpstreamExpired, { { "upstream", info.mId }, { "service", info.mService } });
       mUpstreamsDirty = true;
     }
     QueueChanges(true);
@@ -848,20 +848,18 @@
                           { "address", FormatSocketAddress(host.mAddress) },
                           { "data_centre", host.mDataCentre } });
   }
-  return nlohmann::json{ { "addresses", addresses },
-                         { "lifetime_ms", std::chrono::milliseconds(kAddressLifetime).count() } }
-    .dump();
+  return nlohmann::json{
+    { "addresses", addresses },
+    { "lifetime_ms", std::chrono::milliseconds(kAddressLifetime).count() }
+  }.dump();
 }
 
 std::optional<AddressHost>
 DiscoveryNode::ForwardTarget(const std::string& aCollection)
 {
   const std::set<std::string> homes = mImpl->Homes(aCollection);
-  return ChooseForward(mImpl->Hosts(),
-                       homes,
-                       mImpl->mIdentity.mHost,
-                       mImpl->mIdentity.mDataCentre,
-                       mImpl->mRng);
+  return ChooseForward(
+    mImpl->Hosts(), homes, mImpl->mIdentity.mHost, mImpl->mIdentity.mDataCentre, mImpl->mRng);
 }
 
 void
@@ -915,8 +913,7 @@
     peers.push_back(
       { { "host", name },
         { "state", PeerStateName(peer.mState) },
-        { "serves",
-          known == impl.mPeers.end() ? "" : EntryHostStateName(known->second.mState) },
+        { "serves", known == impl.mPeers.end() ? "" : EntryHostStateName(known->second.mState) },
         { "heard_ms_ago",
           std::chrono::duration_cast<std::chrono::milliseconds>(now - peer.mHeardAt).count() } });
   }
@@ -928,12 +925,13 @@
     }
     groups.push_back({ { "group", name }, { "home_hosts", homes }, { "settled", group.mSettled } });
   }
-  return nlohmann::json{ { "state", EntryHostStateName(impl.mState) },
-                         { "roster_epoch", impl.mRoster.mEpoch },
-                         { "upstreams", upstreams },
-                         { "peers", peers },
-                         { "groups", groups } }
-    .dump();
+  return nlohmann::json{
+    { "state", EntryHostStateName(impl.mState) },
+    { "roster_epoch", impl.mRoster.mEpoch },
+    { "upstreams", upstreams },
+    { "peers", peers },
+    { "groups", groups }
+  }.dump();
 }
 
 } // namespace apricotyard
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -279,9 +279,8 @@
 void
 EntryServer::HandleAddresses(const HttpRequest& aRequest, const HttpResponder& aRespond)
 {
-  const auto answer =
-    mDiscovery.AddressAnswer(std::string(aRequest.Argument("collection")),
-                             std::string(aRequest.Argument("data_centre")));
+  const auto answer = mDiscovery.AddressAnswer(std::string(aRequest.Argument("collection")),
+                                               std::string(aRequest.Argument("data_centre")));
   if (answer) {
     aRespond({ 200, *answer });
   } else {
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -23,9 +23,9 @@
   const auto first = ParseSocketAddress(peerAddress);
   const auto second = ParseSocketAddress(callerAddress);
   if (!first || !second || (stream >> more)) {
-    return Fail(Result::InvalidSettings,
-                fmt::format("'{}' is not of the form HOST DATA_CENTRE PEER_IP:PORT CALLER_IP:PORT",
-                            aText));
+    return Fail(
+      Result::InvalidSettings,
+      fmt::format("'{}' is not of the form HOST DATA_CENTRE PEER_IP:PORT CALLER_IP:PORT", aText));
   }
   peer.mPeerAddress = *first;
   peer.mCallerAddress = *second;
--- a/src/failure_detector.cpp
+++ b/src/failure_detector.cpp
@@ -254,9 +254,11 @@
 OnRumour(Detector& aDetector, const Rumour& aRumour, TimePoint aNow)
 {
   if (aRumour.mSubject == aDetector.mHost) {
-    if (aRumour.mState != PeerState::Alive && aRumour.mIncarnation == aDetector.mIncarnation &&
-        aRumour.mDenial >= aDetector.mDenial) {
-      aDetector.mDenial = aRumour.mDenial + 1;
+    const bool current =
+      aRumour.mIncarnation == 0 ||
+      (aRumour.mIncarnation == aDetector.mIncarnation && aRumour.mDenial >= aDetector.mDenial);
+    if (aRumour.mState != PeerState::Alive && current) {
+      aDetector.mDenial = std::max(aDetector.mDenial, aRumour.mDenial) + 1;
       Spread(aDetector,
              { aDetector.mHost, aDetector.mIncarnation, aDetector.mDenial, PeerState::Alive });
     }
@@ -279,7 +281,9 @@
     Spread(aDetector, aRumour);
     return Apply(aDetector, aRumour.mSubject, peer, kRefuted, aNow);
   }
-  if (offered < known) {
+  // A host that never heard the subject does not know its incarnation and reports 0.
+  const bool unknown = aRumour.mIncarnation == 0;
+  if (!unknown && offered < known) {
     return std::nullopt;
   }
   if (aNow - peer.mHeardAt < kSuspectAfter) {
@@ -289,8 +293,10 @@
     }
     return std::nullopt;
   }
-  peer.mIncarnation = aRumour.mIncarnation;
-  peer.mDenial = aRumour.mDenial;
+  if (!unknown) {
+    peer.mIncarnation = aRumour.mIncarnation;
+    peer.mDenial = aRumour.mDenial;
+  }
   const auto change = Apply(aDetector, aRumour.mSubject, peer, kReported, aNow);
   if (change) {
     aDetector.mWatched.insert(aRumour.mSubject);
--- a/src/failure_detector.h
+++ b/src/failure_detector.h
@@ -21,8 +21,8 @@
 inline constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 // Without an answer for this time, other hosts are asked to probe. One-way delays are 4 ms.
 inline constexpr Duration kIndirectAfter = std::chrono::milliseconds(400);
-// The times below add up to less than the lease of 6 s: at 780 hosts 0.5 s on average until some host
-// probes, 1.25 s until it suspects, 0.5 s until all know, 1.25 s until the peer is dead.
+// The times below add up to less than the lease of 6 s: at 780 hosts 0.5 s on average until some
+// host probes, 1.25 s until it suspects, 0.5 s until all know, 1.25 s until the peer is dead.
 inline constexpr Duration kSuspectAfter = std::chrono::milliseconds(1250);
 inline constexpr Duration kDeadAfter = std::chrono::milliseconds(1250);
 inline constexpr std::size_t kIndirectProbes = 3;
@@ -57,6 +57,7 @@
 struct Rumour
 {
   std::string mSubject;
+  // 0 if the sender never heard the subject.
   std::uint64_t mIncarnation = 0;
   // Raised by the subject with every denial.
   std::uint64_t mDenial = 0;
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -20,9 +20,9 @@
 // Up to this number of peers a change is pushed to each of them directly.
 inline constexpr std::size_t kDirectPeers = 16;
 inline constexpr std::size_t kFanout = 4;
-// A host forwards a change in three rounds, 12 messages. One round leaves e^-4 = 1.8% of the hosts to
-// the digest exchange and two rounds e^-8 = 0.03%, which of 780 hosts is one in every fourth change
-// and up to 1.2 s late; three rounds leave e^-12.
+// A host forwards a change in three rounds, 12 messages. One round leaves e^-4 = 1.8% of the hosts
+// to the digest exchange and two rounds e^-8 = 0.03%, which of 780 hosts is one in every fourth
+// change and up to 1.2 s late; three rounds leave e^-12.
 inline constexpr std::uint32_t kForwardRounds = 3;
 // A flush collects the changes of this time into one message per peer.
 inline constexpr Duration kFlushInterval = std::chrono::milliseconds(50);
--- a/src/peer_service.cpp
+++ b/src/peer_service.cpp
@@ -151,9 +151,8 @@
                                    const rpc::GossipMessage* aRequest,
                                    rpc::GossipReply* aReply) override
   {
-    return Handle(aContext, *aRequest, *aReply, [this, aRequest] {
-      return mHandlers.mGossip(*aRequest);
-    });
+    return Handle(
+      aContext, *aRequest, *aReply, [this, aRequest] { return mHandlers.mGossip(*aRequest); });
   }
 
   grpc::ServerUnaryReactor* Pull(grpc::CallbackServerContext* aContext,
@@ -187,9 +186,8 @@
                                     const rpc::SuspectRequest* aRequest,
                                     rpc::SuspectReply* aReply) override
   {
-    return Handle(aContext, *aRequest, *aReply, [this, aRequest] {
-      return mHandlers.mSuspect(*aRequest);
-    });
+    return Handle(
+      aContext, *aRequest, *aReply, [this, aRequest] { return mHandlers.mSuspect(*aRequest); });
   }
 
   grpc::ServerUnaryReactor* PingThrough(grpc::CallbackServerContext* aContext,
@@ -313,9 +311,8 @@
     aStart(*channel->second.mStub, *call, [this, call](const grpc::Status& aStatus) {
       mTraffic.Received(aStatus.ok() ? call->mReply.ByteSizeLong() : 0);
       const bool posted = mLoop.Post([call, aStatus] {
-        call->mCallback(aStatus.ok()
-                          ? Expected<Reply>(std::move(call->mReply))
-                          : Fail(Result::Internal, aStatus.error_message()));
+        call->mCallback(aStatus.ok() ? Expected<Reply>(std::move(call->mReply))
+                                     : Fail(Result::Internal, aStatus.error_message()));
       });
       if (!posted) {
         LogEvent(Event::PeerMessageDropped, { { "reason", "the mailbox is full" } });
@@ -349,8 +346,7 @@
   builder.SetResourceQuota(quota);
   builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
   int port = 0;
-  builder.AddListeningPort(
-    FormatSocketAddress(aAddress), grpc::InsecureServerCredentials(), &port);
+  builder.AddListeningPort(FormatSocketAddress(aAddress), grpc::InsecureServerCredentials(), &port);
   builder.RegisterService(&mState->mService);
   mState->mServer = builder.BuildAndStart();
   if (mState->mServer == nullptr || port == 0) {
@@ -423,8 +419,7 @@
     std::move(aRequest),
     std::move(aCallback),
     [](rpc::Peer::Stub& aStub, auto& aCall, auto aDone) {
-      aStub.async()->PingThrough(
-        &aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
+      aStub.async()->PingThrough(&aCall.mContext, &aCall.mRequest, &aCall.mReply, std::move(aDone));
     });
 }
 
@@ -458,8 +453,9 @@
 PeerService::Traffic() const
 {
   const TrafficCounters& traffic = mState->mTraffic;
-  return { traffic.mMessagesSent, traffic.mBytesSent, traffic.mMessagesReceived,
-           traffic.mBytesReceived };
+  return {
+    traffic.mMessagesSent, traffic.mBytesSent, traffic.mMessagesReceived, traffic.mBytesReceived
+  };
 }
 
 } // namespace apricotyard
--- a/src/shares.cpp
+++ b/src/shares.cpp
@@ -16,8 +16,7 @@
 std::uint64_t
 Weight(std::string_view aHost, std::string_view aKey)
 {
-  return XXH3_64bits_withSeed(
-    aHost.data(), aHost.size(), XXH3_64bits(aKey.data(), aKey.size()));
+  return XXH3_64bits_withSeed(aHost.data(), aHost.size(), XXH3_64bits(aKey.data(), aKey.size()));
 }
 
 std::vector<ShareHost>
@@ -102,9 +101,10 @@
     }
     // Slot by slot over all replicas, so that no replica takes the quota of a host alone.
     const std::uint32_t longest =
-      (*std::max_element(aReplicas.begin(), aReplicas.end(), [](auto* aLeft, auto* aRight) {
-        return aLeft->mSlots < aRight->mSlots;
-      }))->mSlots;
+      (*std::max_element(aReplicas.begin(),
+                         aReplicas.end(),
+                         [](auto* aLeft, auto* aRight) { return aLeft->mSlots < aRight->mSlots; }))
+        ->mSlots;
     for (std::uint32_t slot = 0; slot < longest; ++slot) {
       for (std::size_t row = 0; row < aReplicas.size(); ++row) {
         if (slot < aReplicas[row]->mSlots) {
--- a/src/shares.h
+++ b/src/shares.h
@@ -92,7 +92,8 @@
 HomeHosts(const ShareGroup& aGroup, const RosterEpoch& aRoster);
 
 // Every slot of every replica goes to exactly one home host. Within a shard the numbers of slots of
-// two home hosts differ by at most one, and a host's slots lie on different replicas where possible.
+// two home hosts differ by at most one, and a host's slots lie on different replicas where
+// possible.
 Layout
 ComputeLayout(const ShareGroup& aGroup, const RosterEpoch& aRoster);
 
--- a/tests/discovery_network.h
+++ b/tests/discovery_network.h
@@ -256,12 +256,13 @@
           if (!difference.mSend.empty()) {
             SendRecords(aTo, aFrom, difference.mSend);
           }
-          Deliver(aTo, aFrom, kEnvelope + 8 * difference.mWant.size(), [this, aFrom, aTo, difference] {
-            SendWanted(aFrom, aTo, difference.mWant);
-            if (difference.mSend.size() >= kMaxRecordsPerPull) {
-              ContinuePull(mHosts[aFrom].mGossip, mNow);
-            }
-          });
+          Deliver(
+            aTo, aFrom, kEnvelope + 8 * difference.mWant.size(), [this, aFrom, aTo, difference] {
+              SendWanted(aFrom, aTo, difference.mWant);
+              if (difference.mSend.size() >= kMaxRecordsPerPull) {
+                ContinuePull(mHosts[aFrom].mGossip, mNow);
+              }
+            });
         });
       });
     });
@@ -312,7 +313,8 @@
       if (host.mDetector.mPeers.size() > kProbeAllPeers && !IsIsolated(host.mDetector, mNow)) {
         for (const auto& [name, peer] : host.mDetector.mPeers) {
           if (peer.mState == PeerState::Alive) {
-            VouchRegistrar(host.mDirectory, name, std::max<std::uint64_t>(peer.mIncarnation, 1), mNow);
+            VouchRegistrar(
+              host.mDirectory, name, std::max<std::uint64_t>(peer.mIncarnation, 1), mNow);
           }
         }
       }
--- a/tests/test_addresses.cpp
+++ b/tests/test_addresses.cpp
@@ -11,7 +11,10 @@
 namespace {
 
 AddressHost
-Host(const std::string& aName, const std::string& aCentre, bool aServing = true, std::uint64_t aLoad = 0)
+Host(const std::string& aName,
+     const std::string& aCentre,
+     bool aServing = true,
+     std::uint64_t aLoad = 0)
 {
   return { aName, aCentre, { "127.0.0.1", 7200 }, aServing, aLoad };
 }
@@ -32,7 +35,9 @@
   void HomeHostsOfTheOwnDataCentreComeFirst()
   {
     Rng rng(1);
-    const std::vector<AddressHost> hosts{ Host("a", "x"), Host("b", "y"), Host("c", "y"), Host("d", "x") };
+    const std::vector<AddressHost> hosts{
+      Host("a", "x"), Host("b", "y"), Host("c", "y"), Host("d", "x")
+    };
     for (int i = 0; i < 100; ++i) {
       const auto chosen = ChooseAddresses(hosts, { "a", "b", "c" }, "y", rng);
       CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, chosen.size());
@@ -44,7 +49,9 @@
   void HostsThatDoNotServeAreLeftOut()
   {
     Rng rng(1);
-    const std::vector<AddressHost> hosts{ Host("a", "x", false), Host("b", "x"), Host("c", "x", false) };
+    const std::vector<AddressHost> hosts{ Host("a", "x", false),
+                                          Host("b", "x"),
+                                          Host("c", "x", false) };
     const auto chosen = ChooseAddresses(hosts, { "a", "b" }, "x", rng);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, chosen.size());
     CPPUNIT_ASSERT_EQUAL(std::string("b"), chosen[0].mName);
@@ -84,7 +91,8 @@
     Rng rng(3);
     const std::vector<AddressHost> hosts{ Host("a", "x"), Host("b", "y"), Host("c", "x", false) };
     CPPUNIT_ASSERT(!ChooseForward(hosts, { "a", "b" }, "a", "x", rng));
-    CPPUNIT_ASSERT_EQUAL(std::string("b"), ChooseForward(hosts, { "b", "c" }, "a", "x", rng)->mName);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         ChooseForward(hosts, { "b", "c" }, "a", "x", rng)->mName);
     CPPUNIT_ASSERT(!ChooseForward(hosts, { "c" }, "a", "x", rng));
     CPPUNIT_ASSERT(!ChooseForward(hosts, {}, "a", "x", rng));
   }
--- a/tests/test_directory.cpp
+++ b/tests/test_directory.cpp
@@ -1,7 +1,6 @@
 // Guards against tables of upstreams that differ between hosts for good, and against old
 // announcements that revive an upstream.
 #include "directory.h"
-
 #include "discovery_network.h"
 #include "property.h"
 
@@ -140,9 +139,11 @@
         const TimePoint late = kStart + kRecordKeep - seconds(1);
         ExpireLeases(*host, late);
         for (std::uint64_t sequence = 1; sequence <= 9; ++sequence) {
-          CPPUNIT_ASSERT(ApplyAnnouncement(*host, Announced(5, sequence, UpstreamState::Ready),
+          CPPUNIT_ASSERT(ApplyAnnouncement(*host,
+                                           Announced(5, sequence, UpstreamState::Ready),
                                            late) == AnnounceOutcome::Stale);
-          CPPUNIT_ASSERT(ApplyAnnouncement(*host, Announced(4, sequence, UpstreamState::Ready),
+          CPPUNIT_ASSERT(ApplyAnnouncement(*host,
+                                           Announced(4, sequence, UpstreamState::Ready),
                                            late) == AnnounceOutcome::Stale);
         }
         // The memory of what went is bounded in time.
@@ -181,7 +182,8 @@
     TakeChanges(registrar);
     const Digest before = ComputeDigest(registrar);
     for (std::uint64_t i = 2; i < 100; ++i) {
-      CPPUNIT_ASSERT(ApplyAnnouncement(registrar, Announced(1, i, UpstreamState::Ready),
+      CPPUNIT_ASSERT(ApplyAnnouncement(registrar,
+                                       Announced(1, i, UpstreamState::Ready),
                                        kStart + seconds(2 * i)) == AnnounceOutcome::Renewed);
     }
     CPPUNIT_ASSERT(before == ComputeDigest(registrar));
--- a/tests/test_failure_detector.cpp
+++ b/tests/test_failure_detector.cpp
@@ -1,8 +1,7 @@
 // Guards against live hosts that are declared dead and dead hosts that are used on. Set
 // APRICOT_FIGURES=1 to print the measured figures.
-#include "failure_detector.h"
-
 #include "discovery_network.h"
+#include "failure_detector.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -47,8 +46,8 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  // The bound is the purpose of the detector: no live host loses its records. Nine hosts per setting,
-  // half an hour for the figures and five minutes otherwise.
+  // The bound is the purpose of the detector: no live host loses its records. Nine hosts per
+  // setting, half an hour for the figures and five minutes otherwise.
   void FalsePositivesUnderLossAndDelay()
   {
     const minutes time(std::getenv("APRICOT_FIGURES") != nullptr ? 30 : 5);
@@ -62,12 +61,13 @@
         const int suspects = CountChanges(network, PeerState::Suspect);
         const int dead = CountChanges(network, PeerState::Dead);
         if (std::getenv("APRICOT_FIGURES") != nullptr) {
-          fmt::print("9 hosts, {} min, loss {:.0f}%, mean extra delay {} ms: {} suspicions, {} dead\n",
-                     time.count(),
-                     loss * 100,
-                     extra.count(),
-                     suspects,
-                     dead);
+          fmt::print(
+            "9 hosts, {} min, loss {:.0f}%, mean extra delay {} ms: {} suspicions, {} dead\n",
+            time.count(),
+            loss * 100,
+            extra.count(),
+            suspects,
+            dead);
         }
         CPPUNIT_ASSERT_EQUAL(0, dead);
       }
@@ -104,13 +104,15 @@
           return StateOf(aHost, "entry-002") == PeerState::Dead;
         });
         worst = std::max(worst, took);
-        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} hosts, seed {}: {} ms", hosts, seed, took.count() / 1000),
-                               took <= seconds(6));
+        CPPUNIT_ASSERT_MESSAGE(
+          fmt::format("{} hosts, seed {}: {} ms", hosts, seed, took.count() / 1000),
+          took <= seconds(6));
       }
     }
     if (std::getenv("APRICOT_FIGURES") != nullptr) {
-      fmt::print("6, 9 and 100 hosts, 20 seeds each: a crash is known everywhere after {} ms at worst\n",
-                 worst.count() / 1000);
+      fmt::print(
+        "6, 9 and 100 hosts, 20 seeds each: a crash is known everywhere after {} ms at worst\n",
+        worst.count() / 1000);
     }
   }
 
@@ -144,10 +146,9 @@
     const int before = CountChanges(network, PeerState::Dead);
     network.mBlocked = [](int, int) { return false; };
     const Duration took = network.RunUntil(seconds(20), [&](const SimHost& aHost) {
-      return std::all_of(aHost.mDetector.mPeers.begin(), aHost.mDetector.mPeers.end(),
-                         [](const auto& aPeer) {
-                           return aPeer.second.mState == PeerState::Alive;
-                         });
+      return std::all_of(aHost.mDetector.mPeers.begin(),
+                         aHost.mDetector.mPeers.end(),
+                         [](const auto& aPeer) { return aPeer.second.mState == PeerState::Alive; });
     });
     CPPUNIT_ASSERT(took <= seconds(2));
     network.Run(seconds(10));
@@ -161,9 +162,7 @@
     network.mTick = milliseconds(50);
     network.Run(seconds(5));
     const auto& subject = network.mHosts[7];
-    const Rumour rumour{
-      subject.mName, subject.mDirectory.mIncarnation, 0, PeerState::Suspect
-    };
+    const Rumour rumour{ subject.mName, subject.mDirectory.mIncarnation, 0, PeerState::Suspect };
     for (SimHost& host : network.mHosts) {
       if (host.mName != subject.mName) {
         host.mDetector.mPeers.at(subject.mName).mHeardAt = network.mNow - seconds(60);
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -1,8 +1,7 @@
 // Guards against hosts that learn too late of upstreams, floods after mass restarts, and full
 // copies after a partition. Set APRICOT_FIGURES=1 to print the measured figures.
-#include "gossip.h"
-
 #include "discovery_network.h"
+#include "gossip.h"
 
 #include <chrono>
 
@@ -53,14 +52,12 @@
   aNetwork.Run(seconds(3));
   const std::string id = SimUpstream(0, 1, 1, UpstreamState::Ready).mId;
   aNetwork.Announce(1, SimUpstream(0, 1, 1, UpstreamState::Ready));
-  const Duration added = aNetwork.RunUntil(seconds(20), [&](const SimHost& aHost) {
-    return Lists(aHost, id, UpstreamState::Ready);
-  });
+  const Duration added = aNetwork.RunUntil(
+    seconds(20), [&](const SimHost& aHost) { return Lists(aHost, id, UpstreamState::Ready); });
   aNetwork.Announce(1, SimUpstream(0, 1, 2, UpstreamState::Draining));
   const TimePoint last = aNetwork.mNow;
-  const Duration drained = aNetwork.RunUntil(seconds(20), [&](const SimHost& aHost) {
-    return Lists(aHost, id, UpstreamState::Draining);
-  });
+  const Duration drained = aNetwork.RunUntil(
+    seconds(20), [&](const SimHost& aHost) { return Lists(aHost, id, UpstreamState::Draining); });
   aNetwork.RunUntil(seconds(20), [&](const SimHost& aHost) { return !IsListed(aHost, id); });
   const Duration silent = aNetwork.mNow - last;
   // The registrar and its upstream fall silent together.
@@ -68,8 +65,8 @@
   aNetwork.Run(seconds(3));
   aNetwork.mHosts[1].mUp = false;
   const std::string second = SimUpstream(1, 1, 1, UpstreamState::Ready).mId;
-  const Duration lost = aNetwork.RunUntil(
-    seconds(20), [&](const SimHost& aHost) { return !IsListed(aHost, second); });
+  const Duration lost =
+    aNetwork.RunUntil(seconds(20), [&](const SimHost& aHost) { return !IsListed(aHost, second); });
   if (PrintsFigures()) {
     fmt::print("{}: added {} ms, drained {} ms, silent {} ms, registrar lost {} ms\n",
                aName,
@@ -168,11 +165,12 @@
       largest = std::max(largest, host.mLargest);
     }
     if (PrintsFigures()) {
-      fmt::print("60 hosts, 600 upstreams restart within 2 s: at most {} messages and {} KB sent by "
-                 "a host in 3 s, largest message {} bytes\n",
-                 most,
-                 mostBytes / 1000,
-                 largest);
+      fmt::print(
+        "60 hosts, 600 upstreams restart within 2 s: at most {} messages and {} KB sent by "
+        "a host in 3 s, largest message {} bytes\n",
+        most,
+        mostBytes / 1000,
+        largest);
     }
     CPPUNIT_ASSERT(largest <= 16 * 1024);
     // 25 flushes/s at most to kFanout peers, and as much again for heartbeats and digests.
@@ -189,18 +187,18 @@
     network.Run(seconds(3));
     ResetTraffic(network);
     network.Restart(0);
-    const Duration took = network.RunUntil(seconds(20), [&](const SimHost& aHost) {
-      return aHost.mDirectory.mRecords.size() == 300;
-    });
+    const Duration took = network.RunUntil(
+      seconds(20), [&](const SimHost& aHost) { return aHost.mDirectory.mRecords.size() == 300; });
     std::size_t largest = 0;
     for (const SimHost& host : network.mHosts) {
       largest = std::max(largest, host.mLargest);
     }
     if (PrintsFigures()) {
-      fmt::print("9 hosts, 300 upstreams: a restarted host knows all after {} ms, largest message {} "
-                 "bytes\n",
-                 took.count() / 1000,
-                 largest);
+      fmt::print(
+        "9 hosts, 300 upstreams: a restarted host knows all after {} ms, largest message {} "
+        "bytes\n",
+        took.count() / 1000,
+        largest);
     }
     CPPUNIT_ASSERT(took <= seconds(3));
     CPPUNIT_ASSERT(largest <= 16 * 1024);
@@ -242,10 +240,11 @@
     });
     const std::uint64_t received = network.mHosts[0].mRecordsReceived;
     if (PrintsFigures()) {
-      fmt::print("9 hosts, 300 upstreams, 10 changed during a partition of 40 s: rejoined after {} ms "
-                 "with {} records received\n",
-                 took.count() / 1000,
-                 received);
+      fmt::print(
+        "9 hosts, 300 upstreams, 10 changed during a partition of 40 s: rejoined after {} ms "
+        "with {} records received\n",
+        took.count() / 1000,
+        received);
     }
     CPPUNIT_ASSERT(took <= seconds(5));
     CPPUNIT_ASSERT(received <= 60);
@@ -353,13 +352,14 @@
       const auto micros = [](auto aTime) {
         return std::chrono::duration<double, std::micro>(aTime).count();
       };
-      fmt::print("record {} bytes, ping {} bytes, digest {} bytes; decode and apply a record {:.2f} "
-                 "us, digest of 4,900 records {:.0f} us\n",
-                 message.ByteSizeLong(),
-                 pingBytes,
-                 pull.ByteSizeLong(),
-                 micros(applied - started) / kRecords,
-                 micros(digested - applied) / 100);
+      fmt::print(
+        "record {} bytes, ping {} bytes, digest {} bytes; decode and apply a record {:.2f} "
+        "us, digest of 4,900 records {:.0f} us\n",
+        message.ByteSizeLong(),
+        pingBytes,
+        pull.ByteSizeLong(),
+        micros(applied - started) / kRecords,
+        micros(digested - applied) / 100);
     }
   }
 };
--- a/tests/test_shares.cpp
+++ b/tests/test_shares.cpp
@@ -1,8 +1,7 @@
 // Guards against entry hosts that together use more slots of a replica than it has, and against
 // replicas that no host uses. Set APRICOT_FIGURES=1 to print the measured figures.
-#include "shares.h"
-
 #include "property.h"
+#include "shares.h"
 
 #include <chrono>
 #include <deque>
@@ -27,10 +26,10 @@
 
 // The table of the design, section 1.3.
 constexpr CollectionSize kSizes[] = {
-  { "inspection-desk", 10, 3, 5, 40, true },   { "course-scheduling", 15, 3, 5, 40, true },
-  { "logbook-portal", 1, 40, 2, 110, true },   { "dues", 1, 20, 2, 110, true },
-  { "deal-desk", 10, 3, 2, 25, false },        { "partner-portal", 15, 3, 2, 25, false },
-  { "invoice-viewer", 1, 5, 4, 40, false },    { "offer-drafts", 1, 4, 4, 40, false },
+  { "inspection-desk", 10, 3, 5, 40, true }, { "course-scheduling", 15, 3, 5, 40, true },
+  { "logbook-portal", 1, 40, 2, 110, true }, { "dues", 1, 20, 2, 110, true },
+  { "deal-desk", 10, 3, 2, 25, false },      { "partner-portal", 15, 3, 2, 25, false },
+  { "invoice-viewer", 1, 5, 4, 40, false },  { "offer-drafts", 1, 4, 4, 40, false },
 };
 
 bool
@@ -161,17 +160,20 @@
 class ShareSchedule
 {
 public:
-  // With few hosts and quick changes a layout often returns while old reports are on their way; with
-  // more hosts most steps must exchange reports, or no layout is ever confirmed by all.
+  // With few hosts and quick changes a layout often returns while old reports are on their way;
+  // with more hosts most steps must exchange reports, or no layout is ever confirmed by all.
   explicit ShareSchedule(std::uint64_t aSeed)
     : mCount(2 + static_cast<int>(aSeed % 4))
-    , mPace(mCount == 2 ? 40 : mCount == 3 ? 100 : 400)
+    , mPace(mCount == 2   ? 40
+            : mCount == 3 ? 100
+                          : 400)
     , mRng(aSeed)
   {
     mNames.mByCollection["desk"] = "desk";
     mNames.mByService["a"] = mNames.mByService["b"] = "desk";
     for (int i = 0; i < 6; ++i) {
-      mPool.push_back({ fmt::format("r{}", i), i < 3 ? "a" : "b", 1, 0, 2 + std::uint32_t(i % 3), 9 });
+      mPool.push_back(
+        { fmt::format("r{}", i), i < 3 ? "a" : "b", 1, 0, 2 + std::uint32_t(i % 3), 9 });
     }
     mHosts.resize(mCount);
     for (int i = 0; i < mCount; ++i) {
@@ -251,8 +253,9 @@
       }
       for (const auto& [replica, slots] : host.mState.mGroups.at("desk").mUsed) {
         for (const std::uint32_t slot : slots) {
-          CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}: slot {}#{} used twice", aSeed, replica, slot),
-                                 used.insert(fmt::format("{}#{}", replica, slot)).second);
+          CPPUNIT_ASSERT_MESSAGE(
+            fmt::format("seed {}: slot {}#{} used twice", aSeed, replica, slot),
+            used.insert(fmt::format("{}#{}", replica, slot)).second);
         }
       }
     }
@@ -276,7 +279,9 @@
         Apply(from);
         for (int to = 0; to < mCount; ++to) {
           if (from != to) {
-            Receive({ from, to, mHosts[from].mState.mIncarnation,
+            Receive({ from,
+                      to,
+                      mHosts[from].mState.mIncarnation,
                       ReportsFor(mHosts[from].mState, Name(to)) });
           }
         }
@@ -315,7 +320,8 @@
   void Apply(int aHost)
   {
     SimShareHost& host = mHosts[aHost];
-    const bool pending = !mSettled && host.mEpochIndex > 0 && host.mEpochIndex + 1 == mEpochs.size();
+    const bool pending =
+      !mSettled && host.mEpochIndex > 0 && host.mEpochIndex + 1 == mEpochs.size();
     SetView(host.mState,
             MakeGroups(mNames, host.mReplicas),
             mEpochs[host.mEpochIndex],
@@ -365,7 +371,9 @@
       const int from = static_cast<int>(mRng() % mCount);
       const int to = static_cast<int>(mRng() % mCount);
       if (from != to && !mHosts[from].mLagging) {
-        mMail.push_back({ from, to, mHosts[from].mState.mIncarnation,
+        mMail.push_back({ from,
+                          to,
+                          mHosts[from].mState.mIncarnation,
                           ReportsFor(mHosts[from].mState, Name(to)) });
       }
       return;
@@ -409,6 +417,7 @@
   CPPUNIT_TEST(AnyGroupIsDividedCompletely);
   CPPUNIT_TEST(CollectionsThatShareAServiceShareAGroup);
   CPPUNIT_TEST(RandomSchedulesNeverExceedALimit);
+  CPPUNIT_TEST(OldConfirmationsDoNotCount);
   CPPUNIT_TEST(TargetSize);
   CPPUNIT_TEST_SUITE_END();
 
@@ -463,8 +472,12 @@
       const int replicas = *rc::gen::inRange(1, 12);
       std::size_t slots = 0;
       for (int i = 0; i < replicas; ++i) {
-        group.mReplicas.push_back({ fmt::format("r{:02}", i), fmt::format("s{}", i % 3), 1, 0,
-                                    *rc::gen::inRange<std::uint32_t>(1, 9), 40 });
+        group.mReplicas.push_back({ fmt::format("r{:02}", i),
+                                    fmt::format("s{}", i % 3),
+                                    1,
+                                    0,
+                                    *rc::gen::inRange<std::uint32_t>(1, 9),
+                                    40 });
         slots += group.mReplicas.back().mSlots;
       }
       const Layout layout = ComputeLayout(group, roster);
@@ -523,14 +536,65 @@
       schedule.CheckUsage(seed);
     }
     if (PrintsFigures()) {
-      fmt::print("{} random steps in 200 schedules: no slot used twice, {:.0f}% of the slots in use\n",
-                 steps,
-                 100 * used / static_cast<double>(steps));
+      fmt::print(
+        "{} random steps in 200 schedules: no slot used twice, {:.0f}% of the slots in use\n",
+        steps,
+        100 * used / static_cast<double>(steps));
     }
     // The schedules must reach states in which hosts use slots, or the check above proves nothing.
     CPPUNIT_ASSERT(used > 0.2 * static_cast<double>(steps));
   }
 
+  // Guards against two hosts that each take the whole share of another layout on the strength of
+  // reports from the time before, when layouts return while reports are on their way.
+  void OldConfirmationsDoNotCount()
+  {
+    const RosterEpoch roster = MakeRoster(2, 2);
+    std::map<std::string, ShareGroup> x{ { "g", { "g", {} } } };
+    for (int i = 0; i < 4; ++i) {
+      x["g"].mReplicas.push_back({ fmt::format("r{}", i), "s", 1, 0, 3, 40 });
+    }
+    auto y = x;
+    y["g"].mReplicas.erase(y["g"].mReplicas.begin());
+    ShareState a{ "entry-1", 1, {} };
+    ShareState b{ "entry-2", 1, {} };
+    const auto exchange = [&] {
+      for (int i = 0; i < 2; ++i) {
+        OnReports(b, "entry-1", a.mIncarnation, ReportsFor(a, "entry-2"));
+        OnReports(a, "entry-2", 1, ReportsFor(b, "entry-1"));
+      }
+    };
+    SetView(a, x, roster, nullptr);
+    SetView(b, x, roster, nullptr);
+    exchange();
+    CPPUNIT_ASSERT(a.mGroups["g"].mSettled && b.mGroups["g"].mSettled);
+    const auto bAtX = ReportsFor(b, "entry-1");
+    SetView(a, y, roster, nullptr);
+    const auto aAtY = ReportsFor(a, "entry-2");
+    SetView(a, x, roster, nullptr);
+    SetView(b, y, roster, nullptr);
+    // Both reports are true, but each is older than the view that it would confirm.
+    OnReports(a, "entry-2", 1, bAtX);
+    OnReports(b, "entry-1", 1, aAtY);
+    CPPUNIT_ASSERT(!a.mGroups["g"].mSettled);
+    CPPUNIT_ASSERT(!b.mGroups["g"].mSettled);
+    // A restarted host counts its views from one again, so its old confirmations must not fit.
+    SetView(b, x, roster, nullptr);
+    exchange();
+    CPPUNIT_ASSERT(a.mGroups["g"].mSettled && b.mGroups["g"].mSettled);
+    const auto bKnowsOldA = ReportsFor(b, "entry-1");
+    const std::uint64_t view = a.mGroups["g"].mView;
+    a = { "entry-1", 2, {} };
+    while (a.mGroups["g"].mView < view) {
+      SetView(a, a.mGroups["g"].mView % 2 == view % 2 ? y : x, roster, nullptr);
+    }
+    CPPUNIT_ASSERT_EQUAL(b.mGroups["g"].mLayout.mHash, a.mGroups["g"].mLayout.mHash);
+    OnReports(a, "entry-2", 1, bKnowsOldA);
+    CPPUNIT_ASSERT(!a.mGroups["g"].mSettled);
+    exchange();
+    CPPUNIT_ASSERT(a.mGroups["g"].mSettled);
+  }
+
   // 780 nodes over 4,900 replicas: groups of 19 shards with 3 replicas of 4 slots each.
   void TargetSize()
   {
@@ -542,7 +606,8 @@
       for (int r = 0; r < 57 && replicas < 4900; ++r, ++replicas) {
         const std::string service = fmt::format("{}-{}", name, r / 3);
         groups[name].mName = name;
-        groups[name].mReplicas.push_back({ fmt::format("{}-{}", service, r % 3), service, 1, 0, 4, 40 });
+        groups[name].mReplicas.push_back(
+          { fmt::format("{}-{}", service, r % 3), service, 1, 0, 4, 40 });
       }
     }
     const auto started = std::chrono::steady_clock::now();
@@ -571,15 +636,16 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{ 4900 * 4 }, total);
     if (PrintsFigures()) {
-      fmt::print("780 hosts, 4,900 replicas in {} groups: {:.1f} slots per host on average, {} at most, "
-                 "{} hosts are home of something, {:.2f}% of the slots move when one host leaves, all "
-                 "layouts in {:.0f} ms\n",
-                 groups.size(),
-                 total / 780.0,
-                 most,
-                 perHost.size(),
-                 moved * 100,
-                 std::chrono::duration<double, std::milli>(took).count());
+      fmt::print(
+        "780 hosts, 4,900 replicas in {} groups: {:.1f} slots per host on average, {} at most, "
+        "{} hosts are home of something, {:.2f}% of the slots move when one host leaves, all "
+        "layouts in {:.0f} ms\n",
+        groups.size(),
+        total / 780.0,
+        most,
+        perHost.size(),
+        moved * 100,
+        std::chrono::duration<double, std::milli>(took).count());
     }
   }
 };
