--- a/src/standin.cpp
+++ b/src/standin.cpp
@@ -1,83 +1,324 @@
 #include "standin.h"
 
-#include "chart.h"
 #include "cmdline.h"
 #include "codec.h"
 #include "http_client.h"
-#include "http_server.h"
 #include "log.h"
 #include "loop.h"
 
+#include <algorithm>
 #include <deque>
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace apricotyard {
 
 namespace {
 
+using Json = nlohmann::json;
+
 constexpr Duration kRenewInterval = std::chrono::seconds(2);
 constexpr Duration kAnnounceTimeout = std::chrono::seconds(1);
 constexpr Duration kWarmUp = std::chrono::milliseconds(100);
-// How long a drained replica waits for entry hosts to learn of the drain before it exits.
+// How long a drained replica accepts work, and at least waits before it exits, so that every entry
+// host has learnt of the drain.
 constexpr Duration kDrainTime = std::chrono::seconds(2);
+constexpr Duration kDrainCheck = std::chrono::milliseconds(100);
+// Time for the last announcement to leave before the process ends.
+constexpr Duration kGoodbye = std::chrono::milliseconds(200);
+// A sub-request without a deadline header is given this time.
+constexpr Duration kDefaultDeadline = std::chrono::minutes(1);
+constexpr std::int64_t kColdFactor = 10;
+// One byte more than an entry host accepts.
+constexpr std::size_t kOversizedBytes = std::size_t{ 4 } * 1024 * 1024 + 1;
+constexpr std::size_t kMaxCountedKeys = 10'000;
+constexpr std::size_t kMaxKeyLength = 128;
+constexpr const char* kHeaderDraining = "x-draining";
 
 // The numbers of the chart's events, in the order of charts/upstream.toml.
 constexpr ChartEvent kWarm = 0;
 constexpr ChartEvent kDrain = 1;
-constexpr ChartEvent kFinished = 2;
+constexpr ChartEvent kUndrain = 2;
+constexpr ChartEvent kFinished = 3;
 
 struct Job
 {
-  HttpRequest mRequest;
-  HttpResponder mRespond;
+  ConnectionId mConnection = 0;
+  std::uint64_t mSubrequest = 0;
+  IndexVersion mVersion = 0;
+  std::string mKey;
+  std::string mBody;
   TimePoint mDeadline;
 };
 
-std::uint64_t
+std::optional<std::uint64_t>
 HeaderNumber(const HttpRequest& aRequest, std::string_view aName)
 {
-  return std::strtoull(std::string(aRequest.Header(aName)).c_str(), nullptr, 10);
+  const std::string text(aRequest.Header(aName));
+  if (text.empty() || text.find_first_not_of("0123456789") != std::string::npos) {
+    return std::nullopt;
+  }
+  return std::strtoull(text.c_str(), nullptr, 10);
 }
 
 HttpResponse
-NotRun(int aStatus, Result aResult, std::string_view aMessage)
+NotRun(Result aResult, std::string_view aMessage)
 {
   HttpResponse response = ErrorResponse(aResult, aMessage);
-  response.mStatus = aStatus;
   response.mHeaders.push_back({ kHeaderNotRun, "true" });
+  if (aResult == Result::QueueFull) {
+    // An upstream sheds with 503; 429 is for callers.
+    response.mStatus = 503;
+  }
+  if (aResult == Result::UpstreamDraining) {
+    response.mHeaders.push_back({ kHeaderDraining, "true" });
+  }
   return response;
 }
 
-class Standin
+// Reads the optional fields of POST /v1/faults and keeps the first error.
+class FaultReader
 {
 public:
-  Standin(const StandinSettings& aSettings, Chart aChart);
-  int Run();
+  explicit FaultReader(const Json& aObject)
+    : mObject(aObject)
+  {
+  }
+
+  void Boolean(const char* aName, bool& aOut)
+  {
+    if (const Json* const value = Take(aName)) {
+      if (value->is_boolean()) {
+        aOut = value->get<bool>();
+      } else {
+        SetError(fmt::format("'{}' must be true or false", aName));
+      }
+    }
+  }
+
+  std::optional<std::uint64_t> Number(const char* aName, std::uint64_t aMin, std::uint64_t aMax)
+  {
+    const Json* const value = Take(aName);
+    if (value == nullptr) {
+      return std::nullopt;
+    }
+    if (!value->is_number_unsigned() || value->get<std::uint64_t>() < aMin ||
+        value->get<std::uint64_t>() > aMax) {
+      SetError(fmt::format("'{}' must be an integer from {} to {}", aName, aMin, aMax));
+      return std::nullopt;
+    }
+    return value->get<std::uint64_t>();
+  }
+
+  void Text(const char* aName, std::string& aOut)
+  {
+    if (const Json* const value = Take(aName)) {
+      if (value->is_string() && value->get_ref<const std::string&>().size() <= kMaxKeyLength) {
+        aOut = value->get<std::string>();
+      } else {
+        SetError(fmt::format("'{}' must be a text of at most {} bytes", aName, kMaxKeyLength));
+      }
+    }
+  }
+
+  void Versions(const char* aName, std::optional<std::vector<IndexVersion>>& aOut)
+  {
+    const Json* const value = Take(aName);
+    if (value == nullptr) {
+      return;
+    }
+    constexpr std::size_t kMaxVersions = 64;
+    const bool valid = value->is_array() && value->size() <= kMaxVersions &&
+                       std::all_of(value->begin(), value->end(), [](const Json& aVersion) {
+                         return aVersion.is_number_unsigned();
+                       });
+    if (valid) {
+      aOut = value->get<std::vector<IndexVersion>>();
+    } else {
+      SetError(fmt::format("'{}' must be an array of at most {} integers", aName, kMaxVersions));
+    }
+  }
+
+  void SetError(std::string aMessage)
+  {
+    if (mError.empty()) {
+      mError = std::move(aMessage);
+    }
+  }
+
+  Expected<void> Finish()
+  {
+    for (const auto& [key, value] : mObject.items()) {
+      if (std::find(mTaken.begin(), mTaken.end(), key) == mTaken.end()) {
+        SetError(fmt::format("unknown field '{}'", key));
+      }
+    }
+    if (!mError.empty()) {
+      return Fail(Result::BadRequest, mError);
+    }
+    return {};
+  }
 
 private:
-  void HandleRequest(HttpRequest aRequest, const HttpResponder& aRespond);
-  void HandleSearch(HttpRequest aRequest, const HttpResponder& aRespond);
+  const Json* Take(const char* aName)
+  {
+    mTaken.emplace_back(aName);
+    const auto found = mObject.find(aName);
+    return found == mObject.end() ? nullptr : &*found;
+  }
+
+  const Json& mObject;
+  std::vector<std::string> mTaken;
+  std::string mError;
+};
+
+void
+ReadSwitches(FaultReader& aReader, StandinFaults& aFaults)
+{
+  aReader.Boolean("drop_replies", aFaults.mDropReplies);
+  aReader.Boolean("close_after_read", aFaults.mCloseAfterRead);
+  aReader.Boolean("truncate_reply", aFaults.mTruncateReply);
+  aReader.Boolean("crossed_reply", aFaults.mCrossedReply);
+  aReader.Boolean("oversized_reply", aFaults.mOversizedReply);
+  aReader.Boolean("wrong_version", aFaults.mWrongVersion);
+  aReader.Boolean("refuse_connections", aFaults.mRefuseConnections);
+  aReader.Boolean("shed", aFaults.mShed);
+  aReader.Boolean("misleading_health", aFaults.mMisleadingHealth);
+  aReader.Boolean("misleading_load", aFaults.mMisleadingLoad);
+  aReader.Text("crash_on", aFaults.mCrashOn);
+}
+
+void
+ReadChanges(FaultReader& aReader, FaultRequest& aRequest)
+{
+  constexpr std::uint64_t kMaxMillis = 600'000;
+  if (const auto factor = aReader.Number("delay_factor", 1, 10'000)) {
+    aRequest.mFaults.mDelayFactor = *factor;
+  }
+  if (const auto cost = aReader.Number("connect_cost_ms", 0, kMaxMillis)) {
+    aRequest.mFaults.mConnectCost = std::chrono::milliseconds(*cost);
+  }
+  if (const auto cold = aReader.Number("cold_ms", 0, kMaxMillis)) {
+    aRequest.mCold = std::chrono::milliseconds(*cold);
+  }
+  if (const auto map = aReader.Number("map", 1, UINT32_MAX)) {
+    aRequest.mMap = static_cast<std::uint32_t>(*map);
+  }
+  if (const auto shard = aReader.Number("shard", 0, UINT32_MAX)) {
+    aRequest.mShard = static_cast<std::uint32_t>(*shard);
+  }
+  const auto low = aReader.Number("range_low", 0, kKeySpace - 1);
+  const auto high = aReader.Number("range_high", 1, kKeySpace);
+  if (low.has_value() != high.has_value() || (low && *high <= *low)) {
+    aReader.SetError("'range_low' and 'range_high' go together, and the latter must be larger");
+  } else if (low) {
+    aRequest.mRange = KeyRange{ *low, *high };
+  }
+  aReader.Boolean("silence_connections", aRequest.mSilence);
+  aReader.Versions("versions", aRequest.mVersions);
+}
+
+std::string
+EncodeFaults(const StandinFaults& aFaults)
+{
+  const auto cost = std::chrono::duration_cast<std::chrono::milliseconds>(aFaults.mConnectCost);
+  return Json{
+    { "delay_factor", aFaults.mDelayFactor },
+    { "connect_cost_ms", cost.count() },
+    { "drop_replies", aFaults.mDropReplies },
+    { "close_after_read", aFaults.mCloseAfterRead },
+    { "truncate_reply", aFaults.mTruncateReply },
+    { "crossed_reply", aFaults.mCrossedReply },
+    { "oversized_reply", aFaults.mOversizedReply },
+    { "wrong_version", aFaults.mWrongVersion },
+    { "refuse_connections", aFaults.mRefuseConnections },
+    { "shed", aFaults.mShed },
+    { "misleading_health", aFaults.mMisleadingHealth },
+    { "misleading_load", aFaults.mMisleadingLoad },
+    { "crash_on", aFaults.mCrashOn }
+  }.dump();
+}
+
+} // namespace
+
+Expected<FaultRequest>
+DecodeFaults(std::string_view aBody, const StandinFaults& aCurrent)
+{
+  const Json body = Json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return Fail(Result::BadRequest, "the body is not a JSON object");
+  }
+  FaultRequest request;
+  request.mFaults = aCurrent;
+  FaultReader reader(body);
+  ReadSwitches(reader, request.mFaults);
+  ReadChanges(reader, request);
+  if (body.contains("drain")) {
+    bool drain = false;
+    reader.Boolean("drain", drain);
+    request.mDrain = drain;
+  }
+  if (const auto finished = reader.Finish(); !finished) {
+    return tl::unexpected(finished.error());
+  }
+  return request;
+}
+
+struct Standin::State : std::enable_shared_from_this<Standin::State>
+{
+  State(Loop& aLoop, StandinSettings aSettings, Chart aChart, std::function<void()> aCrash);
+
+  void HandleRequest(ConnectionId aConnection, const HttpRequest& aRequest);
+  void HandleSearch(ConnectionId aConnection, const HttpRequest& aRequest);
+  void HandleCancel(ConnectionId aConnection, const std::string& aSubrequest);
+  void HandleFaults(ConnectionId aConnection, const HttpRequest& aRequest);
+  void HandleLoad(ConnectionId aConnection);
+  void HandleRuns(ConnectionId aConnection);
+  void Apply(const FaultRequest& aRequest);
   void StartNext();
   void Finish(const Job& aJob);
+  void Deliver(const Job& aJob);
+  HttpResponse MakeReply(const Job& aJob) const;
+  Duration RunTime() const;
   void Announce();
-  void Apply(ChartEvent aEvent);
-  void CheckDrained();
+  void Transition(ChartEvent aEvent);
+  void CheckStopped(const std::function<void()>& aDone);
+  bool MustRefuseWork() const;
+  // Runs aTask later unless the replica is gone by then.
+  void After(Duration aDelay, std::function<void()> aTask);
 
+  Loop& mLoop;
   StandinSettings mSettings;
   Chart mChart;
-  Loop mLoop;
+  std::function<void()> mCrash;
   HttpClient mClient;
-  std::unique_ptr<HttpServer> mServer;
+  FaultyServer mServer;
+  StandinFaults mFaults;
   std::deque<Job> mQueue;
-  std::uint32_t mBusy = 0;
+  std::map<std::uint64_t, Job> mRunning;
+  std::map<std::string, std::uint64_t> mRuns;
+  std::uint64_t mNextRun = 1;
+  TimePoint mColdStart;
+  Duration mColdTime{};
   TimePoint mDrainEnd;
 };
 
-Standin::Standin(const StandinSettings& aSettings, Chart aChart)
-  : mSettings(aSettings)
+Standin::State::State(Loop& aLoop,
+                      StandinSettings aSettings,
+                      Chart aChart,
+                      std::function<void()> aCrash)
+  : mLoop(aLoop)
+  , mSettings(std::move(aSettings))
   , mChart(std::move(aChart))
-  , mClient(mLoop, aSettings.mInfo.mAddress.mIp, 1)
+  , mCrash(std::move(aCrash))
+  , mClient(aLoop, mSettings.mInfo.mAddress.mIp, 1)
+  , mServer(aLoop,
+            mSettings.mInfo.mAddress,
+            mSettings.mInfo.mConnections,
+            [this](ConnectionId aConnection, const HttpRequest& aRequest) {
+              HandleRequest(aConnection, aRequest);
+            })
 {
   mSettings.mInfo.mIncarnation = static_cast<std::uint64_t>(
     std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())
@@ -86,7 +327,17 @@
 }
 
 void
-Standin::Apply(ChartEvent aEvent)
+Standin::State::After(Duration aDelay, std::function<void()> aTask)
+{
+  mLoop.AddTimer(SteadyNow() + aDelay, [self = weak_from_this(), task = std::move(aTask)] {
+    if (const auto alive = self.lock()) {
+      task();
+    }
+  });
+}
+
+void
+Standin::State::Transition(ChartEvent aEvent)
 {
   const auto state = static_cast<ChartState>(mSettings.mInfo.mState);
   const ChartState next = Step(mChart, state, aEvent);
@@ -94,11 +345,14 @@
     return;
   }
   mSettings.mInfo.mState = static_cast<UpstreamState>(next);
+  if (mSettings.mInfo.mState == UpstreamState::Draining) {
+    mDrainEnd = SteadyNow() + kDrainTime;
+  }
   Announce();
 }
 
 void
-Standin::Announce()
+Standin::State::Announce()
 {
   ++mSettings.mInfo.mSequence;
   for (const SocketAddress& entry : mSettings.mEntries) {
@@ -112,118 +366,320 @@
 }
 
 void
-Standin::HandleRequest(HttpRequest aRequest, const HttpResponder& aRespond)
+Standin::State::HandleRequest(ConnectionId aConnection, const HttpRequest& aRequest)
 {
-  if (aRequest.mMethod == "POST" && aRequest.mPath == "/v1/search") {
-    HandleSearch(std::move(aRequest), aRespond);
-  } else if (aRequest.mMethod == "POST" && aRequest.mPath == "/v1/drain") {
-    Apply(kDrain);
-    aRespond({ 200, "{}" });
+  constexpr std::string_view kCancelPath = "/v1/search/";
+  const std::string& path = aRequest.mPath;
+  const bool post = aRequest.mMethod == "POST";
+  const bool get = aRequest.mMethod == "GET";
+  if (post && path == "/v1/search") {
+    HandleSearch(aConnection, aRequest);
+  } else if (aRequest.mMethod == "DELETE" && path.starts_with(kCancelPath)) {
+    HandleCancel(aConnection, path.substr(kCancelPath.size()));
+  } else if (post && path == "/v1/faults") {
+    HandleFaults(aConnection, aRequest);
+  } else if (get && path == "/v1/faults") {
+    mServer.Reply(aConnection, { 200, EncodeFaults(mFaults) });
+  } else if (post && (path == "/v1/drain" || path == "/v1/undrain")) {
+    Transition(path == "/v1/drain" ? kDrain : kUndrain);
+    mServer.Reply(aConnection, { 200, "{}" });
+  } else if (get && path == "/v1/runs") {
+    HandleRuns(aConnection);
+  } else if (get && path == "/v1/load") {
+    HandleLoad(aConnection);
+  } else if (get && path == "/v1/health") {
+    const bool healthy =
+      mFaults.mMisleadingHealth || mSettings.mInfo.mState == UpstreamState::Ready;
+    mServer.Reply(aConnection, { healthy ? 200 : 503, Json{ { "healthy", healthy } }.dump() });
   } else {
-    aRespond(ErrorResponse(Result::NotFound, "no such path"));
+    mServer.Reply(aConnection, ErrorResponse(Result::NotFound, "no such path"));
   }
 }
 
 void
-Standin::HandleSearch(HttpRequest aRequest, const HttpResponder& aRespond)
+Standin::State::HandleLoad(ConnectionId aConnection)
 {
-  const std::uint64_t version = HeaderNumber(aRequest, kHeaderVersion);
-  const auto& versions = mSettings.mInfo.mVersions;
-  if (std::find(versions.begin(), versions.end(), version) == versions.end() ||
-      HeaderNumber(aRequest, kHeaderMap) != mSettings.mInfo.mMap) {
-    aRespond(NotRun(409, Result::NotFound, "the snapshot is not served here"));
+  const bool lie = mFaults.mMisleadingLoad;
+  const Json body{ { "slots", mSettings.mInfo.mSlots },
+                   { "running", lie ? 0 : mRunning.size() },
+                   { "queued", lie ? 0 : mQueue.size() } };
+  mServer.Reply(aConnection, { 200, body.dump() });
+}
+
+void
+Standin::State::HandleRuns(ConnectionId aConnection)
+{
+  mServer.Reply(aConnection, { 200, Json{ { "runs", mRuns } }.dump() });
+}
+
+bool
+Standin::State::MustRefuseWork() const
+{
+  return mSettings.mInfo.mState == UpstreamState::Draining && SteadyNow() >= mDrainEnd;
+}
+
+void
+Standin::State::HandleSearch(ConnectionId aConnection, const HttpRequest& aRequest)
+{
+  const auto subrequest = HeaderNumber(aRequest, kHeaderSubrequest);
+  const auto version = HeaderNumber(aRequest, kHeaderVersion);
+  const auto map = HeaderNumber(aRequest, kHeaderMap);
+  if (!subrequest || !version || !map) {
+    HttpResponse refusal =
+      NotRun(Result::BadRequest, "the headers of identity, version and map are required numbers");
+    mServer.Reply(aConnection, refusal);
     return;
   }
-  if (mQueue.size() >= static_cast<std::size_t>(mSettings.mQueueLimit)) {
-    aRespond(NotRun(503, Result::QueueFull, "overloaded"));
+  const auto& versions = mSettings.mInfo.mVersions;
+  const bool offered = std::find(versions.begin(), versions.end(), *version) != versions.end();
+  std::optional<HttpResponse> refusal;
+  if (MustRefuseWork()) {
+    refusal = NotRun(Result::UpstreamDraining, "draining");
+  } else if (!offered || *map != mSettings.mInfo.mMap) {
+    refusal = NotRun(Result::SnapshotNotServed, "the snapshot is not served here");
+  } else if (mFaults.mShed || mQueue.size() >= static_cast<std::size_t>(mSettings.mQueueLimit)) {
+    refusal = NotRun(Result::QueueFull, "overloaded");
+  }
+  if (refusal) {
+    refusal->mHeaders.push_back({ kHeaderSubrequest, fmt::to_string(*subrequest) });
+    mServer.Reply(aConnection, *refusal);
     return;
   }
-  const auto budget = std::chrono::milliseconds(HeaderNumber(aRequest, kHeaderDeadline));
-  mQueue.push_back({ std::move(aRequest), aRespond, SteadyNow() + budget });
+  const auto deadline = HeaderNumber(aRequest, kHeaderDeadline);
+  const Duration budget =
+    deadline ? Duration(std::chrono::milliseconds(*deadline)) : kDefaultDeadline;
+  const std::string_view key = aRequest.Header("idempotency-key");
+  mQueue.push_back({ aConnection,
+                     *subrequest,
+                     *version,
+                     std::string(key.empty() ? aRequest.mBody : key).substr(0, kMaxKeyLength),
+                     aRequest.mBody,
+                     SteadyNow() + budget });
   StartNext();
 }
 
 void
-Standin::StartNext()
+Standin::State::HandleCancel(ConnectionId aConnection, const std::string& aSubrequest)
+{
+  std::string outcome = "unknown";
+  const auto matches = [&aSubrequest](const Job& aJob) {
+    return fmt::to_string(aJob.mSubrequest) == aSubrequest;
+  };
+  const auto queued = std::find_if(mQueue.begin(), mQueue.end(), matches);
+  const auto running = std::find_if(
+    mRunning.begin(), mRunning.end(), [&](const auto& aEntry) { return matches(aEntry.second); });
+  if (queued != mQueue.end()) {
+    const Job job = *queued;
+    mQueue.erase(queued);
+    mServer.Reply(job.mConnection, NotRun(Result::SubrequestCancelled, "cancelled in the queue"));
+    outcome = "not_run";
+  } else if (running != mRunning.end()) {
+    const Job job = running->second;
+    mRunning.erase(running);
+    mServer.Reply(job.mConnection, ErrorResponse(Result::SubrequestStopped, "cancelled"));
+    outcome = "stopped";
+    StartNext();
+  }
+  mServer.Reply(aConnection, { 200, Json{ { "outcome", outcome } }.dump() });
+}
+
+void
+Standin::State::HandleFaults(ConnectionId aConnection, const HttpRequest& aRequest)
+{
+  const auto request = DecodeFaults(aRequest.mBody, mFaults);
+  if (!request) {
+    LogEvent(Event::FaultsRefused,
+             { { "upstream", mSettings.mInfo.mId }, { "message", request.error().mMessage } });
+    mServer.Reply(aConnection, ErrorResponse(Result::BadRequest, request.error().mMessage));
+    return;
+  }
+  // The answer leaves before the connections fall silent.
+  mServer.Reply(aConnection, { 200, EncodeFaults(request->mFaults) });
+  Apply(*request);
+  LogEvent(Event::FaultsSwitched,
+           { { "upstream", mSettings.mInfo.mId }, { "request", aRequest.mBody } });
+}
+
+void
+Standin::State::Apply(const FaultRequest& aRequest)
+{
+  mFaults = aRequest.mFaults;
+  if (mFaults.mRefuseConnections) {
+    mServer.StopListening();
+  } else if (const auto listening = mServer.Listen(); !listening) {
+    LogEvent(Event::StartFailed, { { "reason", listening.error().mMessage } });
+  }
+  if (aRequest.mSilence) {
+    mServer.Silence();
+  }
+  if (aRequest.mCold) {
+    mColdStart = SteadyNow();
+    mColdTime = *aRequest.mCold;
+  }
+  UpstreamInfo& info = mSettings.mInfo;
+  const UpstreamInfo before = info;
+  info.mVersions = aRequest.mVersions.value_or(info.mVersions);
+  info.mMap = aRequest.mMap.value_or(info.mMap);
+  info.mShard = aRequest.mShard.value_or(info.mShard);
+  info.mRange = aRequest.mRange.value_or(info.mRange);
+  if (info != before) {
+    Announce();
+  }
+  if (aRequest.mDrain) {
+    Transition(*aRequest.mDrain ? kDrain : kUndrain);
+  }
+}
+
+Duration
+Standin::State::RunTime() const
 {
-  while (mBusy < mSettings.mInfo.mSlots && !mQueue.empty()) {
+  Duration time = mSettings.mServiceTime * mFaults.mDelayFactor;
+  const Duration warm = SteadyNow() - mColdStart;
+  if (warm < mColdTime) {
+    // The extra time shrinks linearly while the replica warms up.
+    time += time * (kColdFactor - 1) * (mColdTime - warm).count() / mColdTime.count();
+  }
+  return time;
+}
+
+void
+Standin::State::StartNext()
+{
+  while (mRunning.size() < mSettings.mInfo.mSlots && !mQueue.empty()) {
     const Job job = std::move(mQueue.front());
     mQueue.pop_front();
-    if (SteadyNow() > job.mDeadline) {
-      job.mRespond(NotRun(503, Result::ExpiredInQueue, "the deadline passed in the queue"));
+    const Duration left = job.mDeadline - SteadyNow();
+    if (left <= Duration::zero()) {
+      mServer.Reply(job.mConnection, NotRun(Result::ExpiredInQueue, "expired in the queue"));
       continue;
     }
-    ++mBusy;
-    mLoop.AddTimer(SteadyNow() + mSettings.mServiceTime, [this, job] {
-      --mBusy;
-      Finish(job);
+    if (mRuns.size() < kMaxCountedKeys || mRuns.contains(job.mKey)) {
+      ++mRuns[job.mKey];
+    }
+    if (!mFaults.mCrashOn.empty() && job.mBody.find(mFaults.mCrashOn) != std::string::npos) {
+      LogEvent(Event::CrashRequested, { { "upstream", mSettings.mInfo.mId } });
+      mCrash();
+      return;
+    }
+    const std::uint64_t run = mNextRun++;
+    mRunning.emplace(run, job);
+    const Duration time = RunTime();
+    After(std::min(time, left), [this, run, late = time > left] {
+      const auto node = mRunning.extract(run);
+      if (node.empty()) {
+        return;
+      }
+      if (late) {
+        mServer.Reply(node.mapped().mConnection,
+                      ErrorResponse(Result::SubrequestStopped, "the deadline passed"));
+      } else {
+        Finish(node.mapped());
+      }
       StartNext();
     });
   }
 }
 
-void
-Standin::Finish(const Job& aJob)
+HttpResponse
+Standin::State::MakeReply(const Job& aJob) const
 {
   const UpstreamInfo& info = mSettings.mInfo;
   SubReply reply;
-  reply.mAttempt = HeaderNumber(aJob.mRequest, kHeaderSubrequest);
+  reply.mAttempt = aJob.mSubrequest + (mFaults.mCrossedReply ? 1 : 0);
   reply.mShard = { info.mService, info.mMap, info.mShard };
-  reply.mVersion = HeaderNumber(aJob.mRequest, kHeaderVersion);
+  reply.mVersion = aJob.mVersion + (mFaults.mWrongVersion ? 1 : 0);
   for (std::int64_t i = 0; i < mSettings.mItems; ++i) {
     reply.mItems.push_back(
       fmt::format(R"({{"document":"{}-{}-{}"}})", info.mService, info.mShard, i));
   }
+  if (mFaults.mOversizedReply) {
+    reply.mItems.push_back("\"" + std::string(kOversizedBytes, 'x') + "\"");
+  }
   HttpResponse response;
   response.mBody = EncodeSubReply(reply);
   response.mHeaders.push_back({ kHeaderSubrequest, fmt::to_string(reply.mAttempt) });
-  aJob.mRespond(std::move(response));
+  return response;
 }
 
 void
-Standin::CheckDrained()
+Standin::State::Finish(const Job& aJob)
 {
-  if (mSettings.mInfo.mState == UpstreamState::Draining && SteadyNow() >= mDrainEnd &&
-      mServer->OpenRequests() == 0) {
-    Apply(kFinished);
-    mLoop.AddTimer(SteadyNow() + std::chrono::milliseconds(200), [this] { mLoop.Stop(); });
+  if (mFaults.mConnectCost > Duration::zero() && mServer.Requests(aJob.mConnection) == 1) {
+    After(mFaults.mConnectCost, [this, aJob] { Deliver(aJob); });
+  } else {
+    Deliver(aJob);
   }
 }
 
-int
-Standin::Run()
+void
+Standin::State::Deliver(const Job& aJob)
 {
-  HandleStopSignals(mLoop, [this] {
-    LogEvent(Event::ProcessStopping, { { "upstream", mSettings.mInfo.mId } });
-    mDrainEnd = SteadyNow() + kDrainTime;
-    Apply(kDrain);
-    mLoop.AddPeriodic(std::chrono::milliseconds(100), [this] { CheckDrained(); });
-  });
-  StartLogger("apricot-upstream", mSettings.mLogLevel);
-  auto server = HttpServer::Builder(mLoop, mSettings.mInfo.mAddress)
-                  .MaxConnections(mSettings.mInfo.mConnections)
-                  .OnRequest([this](HttpRequest aRequest, const HttpResponder& aRespond) {
-                    HandleRequest(std::move(aRequest), aRespond);
-                  })
-                  .Start();
-  if (!server) {
-    LogEvent(Event::StartFailed, { { "reason", server.error().mMessage } });
-    StopLogger();
-    return kExitFailure;
+  if (mFaults.mCloseAfterRead) {
+    mServer.Close(aJob.mConnection);
+  } else if (mFaults.mTruncateReply) {
+    mServer.ReplyTruncated(aJob.mConnection, MakeReply(aJob));
+  } else if (!mFaults.mDropReplies) {
+    mServer.Reply(aJob.mConnection, MakeReply(aJob));
   }
-  mServer = *std::move(server);
-  LogEvent(Event::ProcessStarted, { { "upstream", mSettings.mInfo.mId } });
-  Announce();
-  mLoop.AddTimer(SteadyNow() + kWarmUp, [this] { Apply(kWarm); });
-  mLoop.AddPeriodic(kRenewInterval, [this] { Announce(); });
-  mLoop.Run();
-  mServer.reset();
-  LogEvent(Event::ProcessStopped, { { "upstream", mSettings.mInfo.mId } });
-  StopLogger();
-  return kExitOk;
 }
 
-} // namespace
+void
+Standin::State::CheckStopped(const std::function<void()>& aDone)
+{
+  if (SteadyNow() >= mDrainEnd && mQueue.empty() && mRunning.empty()) {
+    Transition(kFinished);
+    After(kGoodbye, aDone);
+    return;
+  }
+  After(kDrainCheck, [this, aDone] { CheckStopped(aDone); });
+}
+
+Standin::Standin(Loop& aLoop, StandinSettings aSettings, Chart aChart, std::function<void()> aCrash)
+  : mState(
+      std::make_shared<State>(aLoop, std::move(aSettings), std::move(aChart), std::move(aCrash)))
+{
+}
+
+Standin::~Standin() = default;
+
+Expected<void>
+Standin::Start()
+{
+  auto started = mState->mServer.Listen();
+  if (!started) {
+    return started;
+  }
+  mState->Announce();
+  mState->After(kWarmUp, [state = mState.get()] { state->Transition(kWarm); });
+  mState->mLoop.AddPeriodic(kRenewInterval, [weak = std::weak_ptr<State>(mState)] {
+    if (const auto state = weak.lock()) {
+      state->Announce();
+    }
+  });
+  return {};
+}
+
+void
+Standin::BeginStop(std::function<void()> aDone)
+{
+  mState->Transition(kDrain);
+  mState->CheckStopped(aDone);
+}
+
+Expected<Chart>
+LoadStandinChart(const std::string& aPath)
+{
+  auto chart = LoadChart(aPath);
+  if (chart) {
+    const auto names = CheckNames(*chart,
+                                  { "starting", "ready", "draining", "left" },
+                                  { "warm", "drain", "undrain", "finished" });
+    if (!names) {
+      return tl::unexpected(names.error());
+    }
+  }
+  return chart;
+}
 
 void
 ReadStandinSettings(SettingsReader& aReader, StandinSettings& aSettings)
@@ -271,20 +727,31 @@
 int
 RunStandin(const StandinSettings& aSettings)
 {
-  auto chart = LoadChart(aSettings.mChart);
-  if (chart) {
-    const auto names = CheckNames(
-      *chart, { "starting", "ready", "draining", "left" }, { "warm", "drain", "finished" });
-    if (!names) {
-      chart = tl::unexpected(names.error());
-    }
-  }
+  auto chart = LoadStandinChart(aSettings.mChart);
   if (!chart) {
     fmt::print(stderr, "{}\n", chart.error().mMessage);
     return kExitFailure;
   }
-  Standin standin(aSettings, *std::move(chart));
-  return standin.Run();
+  Loop loop;
+  std::function<void()> stop;
+  HandleStopSignals(loop, [&stop] { stop(); });
+  StartLogger("apricot-upstream", aSettings.mLogLevel);
+  // A crash ends the process without any farewell, as a real one would.
+  Standin standin(loop, aSettings, *std::move(chart), [] { std::_Exit(kExitFailure); });
+  stop = [&] {
+    LogEvent(Event::ProcessStopping, { { "upstream", aSettings.mInfo.mId } });
+    standin.BeginStop([&loop] { loop.Stop(); });
+  };
+  if (const auto started = standin.Start(); !started) {
+    LogEvent(Event::StartFailed, { { "reason", started.error().mMessage } });
+    StopLogger();
+    return kExitFailure;
+  }
+  LogEvent(Event::ProcessStarted, { { "upstream", aSettings.mInfo.mId } });
+  loop.Run();
+  LogEvent(Event::ProcessStopped, { { "upstream", aSettings.mInfo.mId } });
+  StopLogger();
+  return kExitOk;
 }
 
 } // namespace apricotyard
