--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,6 +1,6 @@
 # Starts and stops a small deployment on loopback addresses. Sourced by other scripts.
 # Control hosts 127.$net.1.N, entry hosts 127.$net.2.N, upstreams 127.$net.3.N; set net (0 to 255) to run
-# several deployments side by side.
+# several deployments side by side. entry_extra holds further settings of the entry hosts.
 
 net=${net:-0}
 controls=${controls:-1}
@@ -52,6 +52,7 @@
 data_centre = "${centres[(n - 1) % 3]}"
 address = "${entry_http[n - 1]}"
 control = $(toml_list "${control_rpc[@]}")
+${entry_extra:-}
 TOML
     start_process "entry-$n" apricot-entry
   done
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Measures: scripts/measure.sh policy [OPTION...]. Each kind ends within 45 s on an idle machine.
+# Measures: scripts/measure.sh policy [OPTION...] | loopback. Each kind ends within 45 s on an idle machine.
 # docs/bench.md explains the figures.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -9,8 +9,11 @@
   policy)
     timeout 45 build/apricot-bench "$@"
     ;;
+  loopback)
+    timeout 45 scripts/measure_loopback.sh
+    ;;
   *)
-    echo "usage: scripts/measure.sh policy [OPTION...]" >&2
+    echo "usage: scripts/measure.sh policy [OPTION...] | loopback" >&2
     exit 2
     ;;
 esac
--- a/src/standin.cpp
+++ b/src/standin.cpp
@@ -660,7 +660,7 @@
 }
 
 void
-Standin::BeginStop(std::function<void()> aDone)
+Standin::BeginStop(const std::function<void()>& aDone)
 {
   mState->Transition(kDrain);
   mState->CheckStopped(aDone);
--- a/src/standin.h
+++ b/src/standin.h
@@ -91,7 +91,7 @@
   // Serves and announces itself. Fails with Internal if the address cannot be bound.
   Expected<void> Start();
   // Leaves in an orderly way; aDone is called when nothing is running any longer.
-  void BeginStop(std::function<void()> aDone);
+  void BeginStop(const std::function<void()>& aDone);
 
 private:
   struct State;
