--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "loop.h"
 #include "metrics.h"
+#include "upstream_reply.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -33,32 +34,6 @@
       .count());
 }
 
-FailureKind
-ClassifyReply(const ClientReply& aReply)
-{
-  switch (aReply.mEnd) {
-    case TransferEnd::NotConnected:
-      return FailureKind::NotConnected;
-    case TransferEnd::NotSent:
-      return FailureKind::NotSent;
-    case TransferEnd::Lost:
-      return FailureKind::Lost;
-    case TransferEnd::TimedOut:
-      return FailureKind::TimedOut;
-    case TransferEnd::TooLarge:
-    case TransferEnd::Crossed:
-      return FailureKind::BadReply;
-    case TransferEnd::Complete:
-      break;
-  }
-  if (aReply.Header(kHeaderNotRun) != "true") {
-    return FailureKind::ErrorStatus;
-  }
-  return aReply.mStatus == 409                   ? FailureKind::VersionGone
-         : aReply.Header("x-draining") == "true" ? FailureKind::Draining
-                                                 : FailureKind::Shed;
-}
-
 class EntryServer
 {
 public:
@@ -328,17 +303,14 @@
   mTransfers.erase(aAttempt);
   Actions actions;
   const TimePoint now = SteadyNow();
-  if (aReply.mEnd == TransferEnd::Complete && aReply.mStatus == 200) {
-    auto reply = DecodeSubReply(aReply.mBody);
-    if (reply && reply->mAttempt == aAttempt) {
-      OnReply(mEngine, *std::move(reply), now, mRng, actions);
-    } else {
-      const std::string message = reply ? "crossed" : reply.error().mMessage;
-      LogEvent(Event::ReplyDiscarded, { { "attempt", aAttempt }, { "message", message } });
-      OnFailure(mEngine, { aAttempt, FailureKind::BadReply, message }, now, mRng, actions);
-    }
+  auto outcome = ReadUpstreamReply(aAttempt, aReply);
+  if (auto* const reply = std::get_if<SubReply>(&outcome)) {
+    OnReply(mEngine, std::move(*reply), now, mRng, actions);
   } else {
-    const SubFailure failure{ aAttempt, ClassifyReply(aReply), aReply.mMessage };
+    const SubFailure& failure = std::get<SubFailure>(outcome);
+    if (failure.mKind == FailureKind::BadReply) {
+      LogEvent(Event::ReplyDiscarded, { { "attempt", aAttempt }, { "message", failure.mMessage } });
+    }
     OnFailure(mEngine, failure, now, mRng, actions);
   }
   CarryOut(std::move(actions));
--- /dev/null
+++ b/src/upstream_reply.h
@@ -0,0 +1,17 @@
+// What the reply of an upstream to one sub-request means for the engine.
+#ifndef APRICOTYARD_UPSTREAM_REPLY_H
+#define APRICOTYARD_UPSTREAM_REPLY_H
+
+#include "engine.h"
+#include "http_client.h"
+
+namespace apricotyard {
+
+// Decodes a whole reply, or classifies the failure by whether the upstream may have started the
+// sub-request (table in section 5 of docs/design.md). Pure.
+std::variant<SubReply, SubFailure>
+ReadUpstreamReply(AttemptId aAttempt, const ClientReply& aReply);
+
+} // namespace apricotyard
+
+#endif
