--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -72,7 +72,7 @@
 WaitKeyOf(const RunningQuery& aQuery, std::uint32_t aIndex)
 {
   const auto delay = static_cast<std::int64_t>(aQuery.mClass.mUrgency) * kUrgencyStep;
-  return { aQuery.mArrived + delay, aQuery.mRequest.mId, aIndex };
+  return { aQuery.mDispatched + delay, aQuery.mRequest.mId, aIndex };
 }
 
 bool
--- a/src/engine.h
+++ b/src/engine.h
@@ -282,8 +282,8 @@
 // The place of a sub-request in the queue of its shard.
 struct WaitKey
 {
-  // Arrival of the query, later by a fixed time per level of urgency: urgent ones overtake, and
-  // nobody starves.
+  // Dispatch of the query, later by a fixed time per level of urgency: urgent ones overtake, and
+  // nobody starves. Not its arrival, because a query that queued for long would overtake urgent ones.
   TimePoint mRank;
   QueryId mQuery = 0;
   std::uint32_t mIndex = 0;
