Count cancelled attempts strongly in the estimate of a replica

Cause: a straggler whose attempts are hedged was sampled at little more than the hedge delay and was asked again within seconds, so stragglers set the p99. Change: a cancelled attempt counts three times its run time with weight one half, and an estimate without samples returns to the shard's mean with 5 s half-life instead of 1 s.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -102,9 +102,8 @@
   queue.mMayDisplace = aClass.mWhenFull != WhenFull::Wait;
   EnqueueResult result;
   if (queue.mSize >= aClass.mQueueLimit) {
-    const std::optional<QueryId> displaced = aClass.mWhenFull == WhenFull::Displace
-                                               ? RemoveNewest(aQueue, aClass.mUrgency)
-                                               : std::nullopt;
+    const std::optional<QueryId> displaced =
+      aClass.mWhenFull == WhenFull::Displace ? RemoveNewest(aQueue, aClass.mUrgency) : std::nullopt;
     if (!displaced) {
       return { EnqueueOutcome::Refused, 0 };
     }
@@ -158,10 +157,8 @@
   if (found == caller->second.end()) {
     return false;
   }
-  RemoveAt(aQueue,
-           queue->second,
-           aCaller,
-           static_cast<std::size_t>(found - caller->second.begin()));
+  RemoveAt(
+    aQueue, queue->second, aCaller, static_cast<std::size_t>(found - caller->second.begin()));
   return true;
 }
 
--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -162,14 +162,13 @@
     }
     return;
   }
-  const Candidate candidate{
-    aIndex,
-    replica.mInFlight,
-    ExpectedLatencyUs(replica.mLatency, LatencyMeanUs(aRun.mShard->mLatency), aTurn.mNow),
-    replica.mInfo.mDataCentre == aTurn.mEngine.mDataCentre,
-    replica.mHealth.mErrorRate,
-    aAllWarming ? 1.0 : WarmShare(replica.mHealth, aTurn.mNow)
-  };
+  const Candidate candidate{ aIndex,
+                             replica.mInFlight,
+                             ExpectedLatencyUs(
+                               replica.mLatency, LatencyMeanUs(aRun.mShard->mLatency), aTurn.mNow),
+                             replica.mInfo.mDataCentre == aTurn.mEngine.mDataCentre,
+                             replica.mHealth.mErrorRate,
+                             aAllWarming ? 1.0 : WarmShare(replica.mHealth, aTurn.mNow) };
   (ejected ? aSurvey.mEjected : aSurvey.mUsable).push_back(candidate);
 }
 
@@ -191,8 +190,8 @@
   const Candidates& candidates = survey.mHealthy ? survey.mUsable : survey.mEjected;
   if (!candidates.empty()) {
     const Tuning& tuning = aTurn.mEngine.mTuning;
-    const std::size_t chosen = ChooseCandidate(
-      candidates, tuning.mChoice, tuning.mRemoteLink, shard.mTurn, aTurn.mRng);
+    const std::size_t chosen =
+      ChooseCandidate(candidates, tuning.mChoice, tuning.mRemoteLink, shard.mTurn, aTurn.mRng);
     return { Obstacle::None, shard.mReplicas[candidates[chosen].mIndex] };
   }
   if (survey.mNoSlot) {
@@ -357,11 +356,9 @@
 bool
 HasFreeSlot(const ShardState& aShard)
 {
-  return std::any_of(
-    aShard.mReplicas.begin(), aShard.mReplicas.end(), [](const Replica* aReplica) {
-      return aReplica->mInfo.mState == UpstreamState::Ready &&
-             aReplica->mInFlight < aReplica->mShare;
-    });
+  return std::any_of(aShard.mReplicas.begin(), aShard.mReplicas.end(), [](const Replica* aReplica) {
+    return aReplica->mInfo.mState == UpstreamState::Ready && aReplica->mInFlight < aReplica->mShare;
+  });
 }
 
 // Takes the sub-request out of the queue of its shard.
@@ -378,8 +375,7 @@
 {
   if (!aShard.mProbeArmed) {
     aShard.mProbeArmed = true;
-    aTurn.mEngine.mTimers.insert(
-      { aTurn.mNow + kProbeInterval, TimerKind::Probe, aShard.mNumber });
+    aTurn.mEngine.mTimers.insert({ aTurn.mNow + kProbeInterval, TimerKind::Probe, aShard.mNumber });
   }
 }
 
@@ -542,8 +538,7 @@
     if (replica == &aReplica) {
       self = views.size();
     }
-    views.push_back(
-      { &replica->mHealth, replica->mLatency.mMeanUs, replica->mLatency.mSamples });
+    views.push_back({ &replica->mHealth, replica->mLatency.mMeanUs, replica->mLatency.mSamples });
   }
   if (!ShouldEject(views, self)) {
     return;
@@ -588,7 +583,7 @@
   if (replica.mShard != nullptr && replica.mShard->mKey == attempt.mShard) {
     const std::optional<Duration> slow = LatencyQuantile(replica.mShard->mLatency, kSlowQuantile);
     if (static_cast<double>(ran.count()) > replica.mLatency.mMeanUs) {
-      RecordReplicaLatency(replica.mLatency, ran, aTurn.mNow);
+      RecordCancelledAttempt(replica.mLatency, ran, aTurn.mNow);
       RecordLatency(replica.mShard->mLatency, ran, aTurn.mNow);
     }
     if (slow && ran > *slow * kOverdueFactor) {
@@ -656,9 +651,8 @@
       return true;
     case Gate::Stopped:
       run.mReason = MissingReason::Quarantined;
-      FinishQuery(aTurn,
-                  aQuery,
-                  aQuery.mAttempts > 0 ? Result::StoppedByQuarantine : Result::Quarantined);
+      FinishQuery(
+        aTurn, aQuery, aQuery.mAttempts > 0 ? Result::StoppedByQuarantine : Result::Quarantined);
       return false;
   }
   const bool alone = permission == Permission::Alone;
--- a/src/engine.cpp
+++ b/src/engine.cpp
@@ -81,10 +81,9 @@
 AdmitQueued(Turn& aTurn, CollectionState& aState)
 {
   while (aState.mQueue.mSize > 0) {
-    const auto& anyClass = std::find_if(
-      aState.mQueue.mClasses.begin(), aState.mQueue.mClasses.end(), [](const auto& aEntry) {
-        return aEntry.second.mSize > 0;
-      });
+    const auto& anyClass = std::find_if(aState.mQueue.mClasses.begin(),
+                                        aState.mQueue.mClasses.end(),
+                                        [](const auto& aEntry) { return aEntry.second.mSize > 0; });
     const QueryId sample = anyClass->second.mCallers.begin()->second.front();
     if (!HasRoom(aTurn.mEngine, *aTurn.mEngine.mQueries.at(sample).mCollection)) {
       return;
@@ -121,8 +120,7 @@
 ReportDeath(Turn& aTurn, const std::string& aUpstream)
 {
   Engine& engine = aTurn.mEngine;
-  for (Strike& strike :
-       ConfirmDeath(engine.mQuarantine, aUpstream, engine.mHost, aTurn.mNow)) {
+  for (Strike& strike : ConfirmDeath(engine.mQuarantine, aUpstream, engine.mHost, aTurn.mNow)) {
     LogTo(aTurn,
           Event::UpstreamCrashed,
           { { "upstream", aUpstream },
@@ -267,10 +265,8 @@
   }
   aQuery.mQueued = true;
   if (queued.mOutcome == EnqueueOutcome::Displaced) {
-    RefuseQueued(aTurn,
-                 engine.mQueries.at(queued.mDisplaced),
-                 Result::Displaced,
-                 RetryAfter(state.mQueue));
+    RefuseQueued(
+      aTurn, engine.mQueries.at(queued.mDisplaced), Result::Displaced, RetryAfter(state.mQueue));
   }
 }
 
@@ -324,7 +320,7 @@
         { run.mShard->mKey, running ? MissingReason::TimedOut : run.mReason });
     }
   }
-  answer.mResult = answer.mMissing.empty()                          ? Result::Ok
+  answer.mResult = answer.mMissing.empty()                    ? Result::Ok
                    : answer.Coverage() >= aQuery.mMinCoverage ? Result::PartialAnswer
                                                               : Result::CoverageBelowMinimum;
   return answer;
@@ -359,9 +355,9 @@
   }
   ++engine.mDiscardedReplies;
   // Another version or map of the same shard: this replica does not serve the pinned snapshot.
-  const bool otherSnapshot = aReply.mShard.mService == aAttempt.mShard.mService &&
-                             (aReply.mVersion != aAttempt.mVersion ||
-                              aReply.mShard.mMap != aAttempt.mShard.mMap);
+  const bool otherSnapshot =
+    aReply.mShard.mService == aAttempt.mShard.mService &&
+    (aReply.mVersion != aAttempt.mVersion || aReply.mShard.mMap != aAttempt.mShard.mMap);
   if (otherSnapshot) {
     aAttempt.mReplica->mGone.insert(aAttempt.mVersion);
     engine.mPlans.clear();
@@ -398,10 +394,9 @@
     case FailureKind::NotSent:
       return;
     case FailureKind::Lost:
-      AddLoss(
-        engine.mQuarantine,
-        replica.mInfo.mId,
-        { aAttempt.mFingerprint, aAttempt.mIncarnation, aAttempt.mAlone, aTurn.mNow });
+      AddLoss(engine.mQuarantine,
+              replica.mInfo.mId,
+              { aAttempt.mFingerprint, aAttempt.mIncarnation, aAttempt.mAlone, aTurn.mNow });
       break;
     case FailureKind::NotConnected:
       ReportDeath(aTurn, replica.mInfo.mId);
@@ -439,8 +434,8 @@
   if (!run.mAttempts.empty()) {
     return;
   }
-  run.mFresh = aFailure.mKind == FailureKind::Silent &&
-               TrySpend(aTurn.mEngine.mConnects, aTurn.mNow);
+  run.mFresh =
+    aFailure.mKind == FailureKind::Silent && TrySpend(aTurn.mEngine.mConnects, aTurn.mNow);
   if (StartShard(aTurn, query, aAttempt.mIndex)) {
     AnswerIfDone(aTurn, query);
   }
@@ -479,8 +474,8 @@
   const Attempt& attempt = found->second;
   if (!attempt.mKey.empty() && aReply.mShard == attempt.mShard &&
       aReply.mVersion == attempt.mVersion) {
-    aTurn.mActions.emplace_back(RecordOutcome{
-      attempt.mKey, attempt.mFingerprint, Result::Ok, OutcomeBody(aReply.mItems) });
+    aTurn.mActions.emplace_back(
+      RecordOutcome{ attempt.mKey, attempt.mFingerprint, Result::Ok, OutcomeBody(aReply.mItems) });
   }
   ReleaseCancelled(aTurn, aReply.mAttempt);
 }
@@ -619,19 +614,17 @@
 std::string_view
 FailureName(FailureKind aKind)
 {
-  constexpr std::string_view kNames[] = { "not_connected", "not_sent",  "shed",
-                                          "version_gone",  "draining",  "lost",
-                                          "timed_out",     "bad_reply", "error_status",
-                                          "silent" };
+  constexpr std::string_view kNames[] = { "not_connected", "not_sent", "shed",      "version_gone",
+                                          "draining",      "lost",     "timed_out", "bad_reply",
+                                          "error_status",  "silent" };
   return kNames[static_cast<std::size_t>(aKind)];
 }
 
 std::string_view
 MissingReasonName(MissingReason aReason)
 {
-  constexpr std::string_view kNames[] = {
-    "not_announced", "no_replica", "version_gone", "failed", "timed_out", "quarantined"
-  };
+  constexpr std::string_view kNames[] = { "not_announced", "no_replica", "version_gone",
+                                          "failed",        "timed_out",  "quarantined" };
   return kNames[static_cast<std::size_t>(aReason)];
 }
 
@@ -687,9 +680,9 @@
 AnswerIfDone(Turn& aTurn, RunningQuery& aQuery)
 {
   const std::size_t expected = aQuery.mShards.size() + aQuery.mNotAnnounced.size();
-  const bool enough = aQuery.mAnswerAtMinimum && expected > 0 &&
-                      static_cast<double>(aQuery.mAnswered) / static_cast<double>(expected) >=
-                        aQuery.mMinCoverage;
+  const bool enough =
+    aQuery.mAnswerAtMinimum && expected > 0 &&
+    static_cast<double>(aQuery.mAnswered) / static_cast<double>(expected) >= aQuery.mMinCoverage;
   if (aQuery.mOpenShards == 0 || enough) {
     FinishQuery(aTurn, aQuery);
     return false;
--- a/src/engine.h
+++ b/src/engine.h
@@ -283,7 +283,8 @@
 struct WaitKey
 {
   // Dispatch of the query, later by a fixed time per level of urgency: urgent ones overtake, and
-  // nobody starves. Not its arrival, because a query that queued for long would overtake urgent ones.
+  // nobody starves. Not its arrival, because a query that queued for long would overtake urgent
+  // ones.
   TimePoint mRank;
   QueryId mQuery = 0;
   std::uint32_t mIndex = 0;
--- a/src/health.cpp
+++ b/src/health.cpp
@@ -59,8 +59,7 @@
   ++aHealth.mOutcomes;
   aHealth.mErrorRate += kErrorStep * ((aSucceeded ? 0.0 : 1.0) - aHealth.mErrorRate);
   aHealth.mFailuresInARow = aSucceeded ? 0 : aHealth.mFailuresInARow + 1;
-  if (aHealth.mOnProbation && aSucceeded &&
-      ++aHealth.mSuccessesOnProbation >= kSuccessesToTrust) {
+  if (aHealth.mOnProbation && aSucceeded && ++aHealth.mSuccessesOnProbation >= kSuccessesToTrust) {
     aHealth.mOnProbation = false;
     aHealth.mNextEjection = kFirstEjection;
   }
--- a/src/latency.cpp
+++ b/src/latency.cpp
@@ -15,7 +15,9 @@
 constexpr unsigned kSubBits = 3;
 constexpr std::uint64_t kSubBuckets = 1U << kSubBits;
 constexpr double kMeanStep = 0.2;
-constexpr Duration kStaleAfter = std::chrono::seconds(1);
+constexpr double kCancelledStep = 0.5;
+constexpr double kCancelledFactor = 3;
+constexpr Duration kStaleAfter = std::chrono::seconds(5);
 constexpr double kDefaultLatencyUs = 1000;
 
 std::size_t
@@ -69,6 +71,16 @@
   aHistogram.mSumUs *= factor;
 }
 
+void
+AddSample(ReplicaLatency& aEstimate, double aSampleUs, double aStep, TimePoint aNow)
+{
+  aEstimate.mMeanUs = aEstimate.mSamples == 0
+                        ? aSampleUs
+                        : aEstimate.mMeanUs + aStep * (aSampleUs - aEstimate.mMeanUs);
+  ++aEstimate.mSamples;
+  aEstimate.mLast = aNow;
+}
+
 } // namespace
 
 void
@@ -115,12 +127,13 @@
 void
 RecordReplicaLatency(ReplicaLatency& aEstimate, Duration aLatency, TimePoint aNow)
 {
-  const auto sample = static_cast<double>(aLatency.count());
-  aEstimate.mMeanUs =
-    aEstimate.mSamples == 0 ? sample
-                            : aEstimate.mMeanUs + kMeanStep * (sample - aEstimate.mMeanUs);
-  ++aEstimate.mSamples;
-  aEstimate.mLast = aNow;
+  AddSample(aEstimate, static_cast<double>(aLatency.count()), kMeanStep, aNow);
+}
+
+void
+RecordCancelledAttempt(ReplicaLatency& aEstimate, Duration aRan, TimePoint aNow)
+{
+  AddSample(aEstimate, kCancelledFactor * static_cast<double>(aRan.count()), kCancelledStep, aNow);
 }
 
 double
--- a/src/latency.h
+++ b/src/latency.h
@@ -48,8 +48,15 @@
 void
 RecordReplicaLatency(ReplicaLatency& aEstimate, Duration aLatency, TimePoint aNow);
 
-// The expected latency in microseconds. Without a sample for more than a second the estimate moves
-// towards the mean of the shard, so that a replica that was slow once is asked again.
+// An attempt was cancelled after aRan, so its latency is unknown but at least that long. Counts
+// more than a reply: otherwise a straggler whose attempts are hedged would look hardly slower than
+// the hedge delay.
+void
+RecordCancelledAttempt(ReplicaLatency& aEstimate, Duration aRan, TimePoint aNow);
+
+// The expected latency in microseconds. Without samples the difference to the mean of the shard
+// halves every 5 s, so that a replica that was slow is asked again. A shorter time costs tail
+// latency: with 1 s, stragglers were asked so often that they set the 99th percentile.
 double
 ExpectedLatencyUs(const ReplicaLatency& aEstimate, double aShardMeanUs, TimePoint aNow);
 
--- a/src/replica_choice.cpp
+++ b/src/replica_choice.cpp
@@ -52,7 +52,7 @@
   }
   const std::size_t second = (first + 1 + aRng() % (count - 1)) % count;
   return Cost(aCandidates[second], aRemoteLink) < Cost(aCandidates[first], aRemoteLink) ? second
-                                                                                       : first;
+                                                                                        : first;
 }
 
 } // namespace
--- a/src/snapshot.cpp
+++ b/src/snapshot.cpp
@@ -37,10 +37,9 @@
 bool
 IsOffered(const ShardState& aShard, IndexVersion aVersion)
 {
-  return std::any_of(
-    aShard.mReplicas.begin(), aShard.mReplicas.end(), [aVersion](const Replica* aReplica) {
-      return Offers(*aReplica, aVersion);
-    });
+  return std::any_of(aShard.mReplicas.begin(),
+                     aShard.mReplicas.end(),
+                     [aVersion](const Replica* aReplica) { return Offers(*aReplica, aVersion); });
 }
 
 bool
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -6,8 +6,8 @@
 
 namespace apricotyard {
 
-// The snapshot that a query of the collection gets now: by section 5.1 the newest index version that
-// every shard of the newest complete maps offers on a ready replica, else the version with the
+// The snapshot that a query of the collection gets now: by section 5.1 the newest index version
+// that every shard of the newest complete maps offers on a ready replica, else the version with the
 // largest coverage. If the newest maps cannot be covered, for example because a repartition and a
 // new index are half announced, older complete maps are tried before coverage is given up. A
 // service without a complete map is listed as one missing shard with map 0. Pure.
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -107,8 +107,7 @@
     }
     return true;
   });
-  std::erase_if(aEngine.mRemoved,
-                [](const auto& aReplica) { return aReplica->mInFlight == 0; });
+  std::erase_if(aEngine.mRemoved, [](const auto& aReplica) { return aReplica->mInFlight == 0; });
 }
 
 void
--- a/tests/engine_rig.h
+++ b/tests/engine_rig.h
@@ -6,8 +6,8 @@
 
 #include <algorithm>
 #include <functional>
-#include <stdexcept>
 #include <map>
+#include <stdexcept>
 
 #include <fmt/format.h>
 
@@ -152,8 +152,8 @@
   void Reply(const SendSub& aSend, std::optional<SubReply> aReply = std::nullopt)
   {
     Actions actions;
-    SubReply reply = aReply.value_or(
-      SubReply{ aSend.mAttempt, aSend.mShard, aSend.mVersion, { fmt::to_string(aSend.mShard.mShard) } });
+    SubReply reply = aReply.value_or(SubReply{
+      aSend.mAttempt, aSend.mShard, aSend.mVersion, { fmt::to_string(aSend.mShard.mShard) } });
     OnReply(mEngine, std::move(reply), mNow, mRng, actions);
     CarryOut(std::move(actions));
   }
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -1,5 +1,5 @@
-// Guards against too many attempts on a replica, lost or unanswered queries, and urgent queries that
-// wait behind others.
+// Guards against too many attempts on a replica, lost or unanswered queries, and urgent queries
+// that wait behind others.
 #include "engine_rig.h"
 
 #include <cppunit/TestFixture.h>
@@ -199,10 +199,11 @@
     const Duration loaded = rig.Quantile("check", 0.99);
     const auto good = static_cast<double>(rig.CountResults("check", Result::Ok, end) +
                                           rig.CountResults("list", Result::Ok, end));
-    const std::string figures = fmt::format("urgent p99 {} us unloaded, {} us loaded, goodput {:.3f}",
-                                            unloaded.count(),
-                                            loaded.count(),
-                                            good / (kCapacity * 4));
+    const std::string figures =
+      fmt::format("urgent p99 {} us unloaded, {} us loaded, goodput {:.3f}",
+                  unloaded.count(),
+                  loaded.count(),
+                  good / (kCapacity * 4));
     CPPUNIT_ASSERT_EQUAL(rig.mOffered["check"].size(), rig.CountResults("check", Result::Ok));
     CPPUNIT_ASSERT_MESSAGE(figures, loaded.count() <= unloaded.count() * 3 / 2);
     CPPUNIT_ASSERT_MESSAGE(figures, good >= kCapacity * 4 * 0.9);
