--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -17,7 +17,6 @@
 constexpr Duration kMaxCancelHold = std::chrono::seconds(1);
 // How often a parked sub-request of each shard is tried without any other cause.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(25);
-constexpr std::size_t kProbesPerInterval = 4;
 // Waiting sub-requests that one freed slot may pass over because they exclude its replica.
 constexpr int kMaxSkipped = 16;
 constexpr std::uint32_t kMaxRestarts = 2;
@@ -496,8 +495,6 @@
     case Obstacle::None:
       break;
   }
-  // A later round may ask every replica again.
-  RunOf(aQuery, aIndex).mTried.clear();
   Park(aTurn, aQuery, aIndex, MissingReason::Failed);
   return true;
 }
@@ -656,8 +653,10 @@
       return false;
   }
   const bool alone = permission == Permission::Alone;
+  // A later round may ask every replica again, but new replicas come first.
+  const bool newRound = run.mProgress == ShardProgress::Parked || purpose == Purpose::Repeat;
   Selection selection = SelectReplica(aTurn, aQuery, run, purpose, alone);
-  if (selection.mObstacle == Obstacle::Exhausted && purpose == Purpose::Repeat) {
+  if (selection.mObstacle == Obstacle::Exhausted && newRound) {
     run.mTried.clear();
     selection = SelectReplica(aTurn, aQuery, run, purpose, alone);
   }
--- a/tests/engine_rig.h
+++ b/tests/engine_rig.h
@@ -47,7 +47,7 @@
 
   EngineRig()
   {
-    AddClass("check", 0, milliseconds(290));
+    AddClass("check", 0, std::chrono::milliseconds(290));
     mConfig.mCollections["desk"] = { "desk", { "a" }, "check" };
   }
 
@@ -149,12 +149,15 @@
     CarryOut(std::move(actions));
   }
 
-  void Reply(const SendSub& aSend, std::optional<SubReply> aReply = std::nullopt)
+  void Reply(const SendSub& aSend)
+  {
+    ReplyWith({ aSend.mAttempt, aSend.mShard, aSend.mVersion, { "1" } });
+  }
+
+  void ReplyWith(SubReply aReply)
   {
     Actions actions;
-    SubReply reply = aReply.value_or(SubReply{
-      aSend.mAttempt, aSend.mShard, aSend.mVersion, { fmt::to_string(aSend.mShard.mShard) } });
-    OnReply(mEngine, std::move(reply), mNow, mRng, actions);
+    OnReply(mEngine, std::move(aReply), mNow, mRng, actions);
     CarryOut(std::move(actions));
   }
 
@@ -231,8 +234,6 @@
 
   std::map<std::string, std::vector<QueryId>> mOffered;
 
-  static constexpr Duration milliseconds(int aCount) { return std::chrono::milliseconds(aCount); }
-
 private:
   void CarryOut(Actions aActions)
   {
