Connect the engine to HTTP in its own file: cancel by DELETE, submit, silent connections

Cause: entry_server.cpp held the query path, cancelled by closing the connection, and had no way to submit unrepeatable requests. Change: QueryPath owns the engine and the transfers to upstreams. A cancelled attempt is told to the upstream by DELETE /v1/search/ID and its connection is kept. POST /v1/submit needs an Idempotency-Key. Claims, outcomes and strikes go through QueryHooks, which nothing sets yet: claims are refused.

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -301,22 +301,25 @@
                         { "shard", shard.mShard.mShard },
                         { "reason", MissingReasonName(shard.mReason) } });
   }
-  const Json head{ { "request_id", aRequestId },
-                   { "result",
-                     { { "code", result.mNumber },
-                       { "name", result.mName },
-                       { "message", result.mText },
-                       { "may_have_run", result.mMayHaveRun } } },
-                   { "snapshot",
-                     { { "version", aAnswer.mSnapshot.mVersion },
-                       { "maps", aAnswer.mSnapshot.mMaps } } },
-                   { "coverage",
-                     { { "expected", aAnswer.mExpected },
-                       { "answered", aAnswer.mAnswered },
-                       { "fraction", aAnswer.Coverage() },
-                       { "missing", missing } } },
-                   { "elapsed_us", aAnswer.mElapsed.count() },
-                   { "attempts", aAnswer.mAttempts } };
+  Json head{ { "request_id", aRequestId },
+             { "result",
+               { { "code", result.mNumber },
+                 { "name", result.mName },
+                 { "message", result.mText },
+                 { "may_have_run", result.mMayHaveRun } } },
+             { "snapshot",
+               { { "version", aAnswer.mSnapshot.mVersion }, { "maps", aAnswer.mSnapshot.mMaps } } },
+             { "coverage",
+               { { "expected", aAnswer.mExpected },
+                 { "answered", aAnswer.mAnswered },
+                 { "fraction", aAnswer.Coverage() },
+                 { "missing", missing } } },
+             { "elapsed_us", aAnswer.mElapsed.count() },
+             { "attempts", aAnswer.mAttempts } };
+  if (aAnswer.mRetryAfter > Duration::zero()) {
+    head["retry_after_ms"] =
+      std::chrono::ceil<std::chrono::milliseconds>(aAnswer.mRetryAfter).count();
+  }
   // Items are JSON texts already, so they are appended without parsing them again.
   std::string body = head.dump(-1, ' ', false, Json::error_handler_t::replace);
   body.pop_back();
--- a/src/engine.cpp
+++ b/src/engine.cpp
@@ -280,6 +280,10 @@
     Refuse(aTurn, aRequest, lookup.mResult);
     return nullptr;
   }
+  if (aKey.empty() && !lookup.mClass->mRepeatable) {
+    Refuse(aTurn, aRequest, Result::UseSubmit);
+    return nullptr;
+  }
   const Fingerprint fingerprint = MakeFingerprint(aRequest.mCollection, aRequest.mQuery);
   if (Permit(engine.mQuarantine, fingerprint, engine.mHost, aTurn.mNow) == Permission::Stopped) {
     Refuse(aTurn, aRequest, Result::Quarantined);
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -3,12 +3,11 @@
 #include "codec.h"
 #include "control_client.h"
 #include "directory.h"
-#include "engine.h"
-#include "http_client.h"
 #include "http_server.h"
 #include "log.h"
 #include "loop.h"
 #include "metrics.h"
+#include "query_path.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -33,32 +32,6 @@
       .count());
 }
 
-FailureKind
-ClassifyReply(const ClientReply& aReply)
-{
-  switch (aReply.mEnd) {
-    case TransferEnd::NotConnected:
-      return FailureKind::NotConnected;
-    case TransferEnd::NotSent:
-      return FailureKind::NotSent;
-    case TransferEnd::Lost:
-      return FailureKind::Lost;
-    case TransferEnd::TimedOut:
-      return FailureKind::TimedOut;
-    case TransferEnd::TooLarge:
-    case TransferEnd::Crossed:
-      return FailureKind::BadReply;
-    case TransferEnd::Complete:
-      break;
-  }
-  if (aReply.Header(kHeaderNotRun) != "true") {
-    return FailureKind::ErrorStatus;
-  }
-  return aReply.mStatus == 409                   ? FailureKind::VersionGone
-         : aReply.Header("x-draining") == "true" ? FailureKind::Draining
-                                                 : FailureKind::Shed;
-}
-
 class EntryServer
 {
 public:
@@ -66,22 +39,12 @@
   int Run();
 
 private:
-  struct PendingQuery
-  {
-    std::string mRequestId;
-    HttpResponder mRespond;
-  };
-
   void HandleRequest(HttpRequest aRequest, const HttpResponder& aRespond);
+  // POST /v1/query and POST /v1/submit.
   void HandleQuery(const HttpRequest& aRequest, const HttpResponder& aRespond);
   void HandleAnnounce(const HttpRequest& aRequest, const HttpResponder& aRespond);
   void HandleAddresses(const HttpResponder& aRespond);
   void HandleStatus(const HttpResponder& aRespond);
-  void CarryOut(Actions aActions);
-  void Send(const SendSub& aSend);
-  void OnSubReply(AttemptId aAttempt, const ClientReply& aReply);
-  void Answer(const Respond& aRespond);
-  void ArmTimer();
   void CheckLeases();
   void AdoptConfig(const ConfigUpdate& aUpdate);
   void BeginStop();
@@ -91,19 +54,10 @@
   std::uint64_t mIncarnation;
   Loop mLoop;
   MetricsRegistry mMetrics;
-  Counter& mQueries;
-  Counter& mSubrequests;
-  Distribution& mLatency;
-  Rng mRng;
-  Engine mEngine;
+  QueryPath mQueryPath;
+  Engine& mEngine;
   Directory mDirectory;
-  HttpClient mClient;
   std::unique_ptr<HttpServer> mServer;
-  absl::flat_hash_map<QueryId, PendingQuery> mPending;
-  absl::flat_hash_map<AttemptId, TransferId> mTransfers;
-  QueryId mNextQuery = 1;
-  TimerId mTimer = 0;
-  std::optional<TimePoint> mTimerAt;
   bool mStopping = false;
   TimePoint mStopAt;
   TimePoint mStopLimit;
@@ -112,15 +66,14 @@
 EntryServer::EntryServer(const EntrySettings& aSettings)
   : mSettings(aSettings)
   , mIncarnation(NewIncarnation())
-  , mQueries(mMetrics.AddCounter("apricot_queries_total", "Queries received."))
-  , mSubrequests(mMetrics.AddCounter("apricot_subrequests_total", "Sub-requests sent."))
-  , mLatency(mMetrics.AddDistribution("apricot_query_seconds", "Time from arrival to answer."))
-  , mRng(mIncarnation)
-  , mClient(mLoop, aSettings.mAddress.mIp, 0)
+  , mQueryPath(mLoop,
+               mMetrics,
+               aSettings.mHost,
+               aSettings.mDataCentre,
+               aSettings.mAddress.mIp,
+               mIncarnation)
+  , mEngine(mQueryPath.State())
 {
-  mEngine.mDataCentre = aSettings.mDataCentre;
-  // Attempt identifiers of an earlier incarnation are never used again.
-  mEngine.mNextAttempt = mIncarnation << 12U;
 }
 
 int
@@ -170,6 +123,7 @@
   };
   const Route routes[] = {
     { "POST", "/v1/query", [&] { HandleQuery(aRequest, aRespond); } },
+    { "POST", "/v1/submit", [&] { HandleQuery(aRequest, aRespond); } },
     { "POST", "/v1/announce", [&] { HandleAnnounce(aRequest, aRespond); } },
     { "GET", "/v1/addresses", [&] { HandleAddresses(aRespond); } },
     { "GET", "/v1/status", [&] { HandleStatus(aRespond); } },
@@ -195,8 +149,7 @@
 void
 EntryServer::HandleQuery(const HttpRequest& aRequest, const HttpResponder& aRespond)
 {
-  mQueries.Add();
-  if (mStopping && mPending.size() > static_cast<std::size_t>(mSettings.mMaxConnections)) {
+  if (mStopping && mQueryPath.Running() > static_cast<std::size_t>(mSettings.mMaxConnections)) {
     aRespond(ErrorResponse(Result::Stopping, "the host is stopping"));
     return;
   }
@@ -205,16 +158,20 @@
     aRespond(ErrorResponse(request.error().mResult, request.error().mMessage));
     return;
   }
-  request->mId = mNextQuery++;
-  const std::string_view given = aRequest.Header("x-request-id");
-  request->mRequestId = given.empty()
-                          ? fmt::format("{}-{}-{}", mSettings.mHost, mIncarnation, request->mId)
-                          : std::string(given.substr(0, 128));
+  request->mRequestId = aRequest.Header("x-request-id").substr(0, 128);
   request->mCaller = aRequest.Header("x-caller");
-  mPending.emplace(request->mId, PendingQuery{ request->mRequestId, aRespond });
-  Actions actions;
-  SubmitQuery(mEngine, *std::move(request), SteadyNow(), mRng, actions);
-  CarryOut(std::move(actions));
+  if (aRequest.mPath == "/v1/query") {
+    mQueryPath.Query(*std::move(request), aRespond);
+    return;
+  }
+  const std::string_view key = aRequest.Header("idempotency-key");
+  if (!IsIdempotencyKey(key)) {
+    aRespond(ErrorResponse(Result::BadRequest,
+                           "Idempotency-Key must have the form EPOCH.RANDOM with 8 to 64 letters, "
+                           "digits, '-' or '_' after the dot"));
+    return;
+  }
+  mQueryPath.Submit(*std::move(request), std::string(key), aRespond);
 }
 
 void
@@ -234,6 +191,7 @@
   const AnnounceOutcome outcome = ApplyAnnouncement(mDirectory, *info, SteadyNow());
   if (outcome == AnnounceOutcome::Changed) {
     SetUpstreams(mEngine, ListUpstreams(mDirectory));
+    mQueryPath.Wake();
     LogEvent(Event::UpstreamAnnounced,
              { { "upstream", info->mId },
                { "service", info->mService },
@@ -273,110 +231,11 @@
   const nlohmann::json body{ { "host", mSettings.mHost },
                              { "incarnation", mIncarnation },
                              { "revision", mEngine.mConfig ? mEngine.mConfig->mRevision : 0 },
-                             { "running", mPending.size() },
+                             { "running", mQueryPath.Running() },
                              { "upstreams", upstreams } };
   aRespond({ 200, body.dump() });
 }
 
-void
-EntryServer::CarryOut(Actions aActions)
-{
-  for (Action& action : aActions) {
-    if (const auto* const send = std::get_if<SendSub>(&action)) {
-      Send(*send);
-    } else if (const auto* const cancel = std::get_if<CancelSub>(&action)) {
-      const auto transfer = mTransfers.find(cancel->mAttempt);
-      if (transfer != mTransfers.end()) {
-        mClient.Cancel(transfer->second);
-        mTransfers.erase(transfer);
-      }
-    } else if (const auto* const respond = std::get_if<Respond>(&action)) {
-      Answer(*respond);
-    } else if (const auto* const decision = std::get_if<LogDecision>(&action)) {
-      LogEvent(decision->mEvent, decision->mFields);
-    }
-  }
-  ArmTimer();
-}
-
-void
-EntryServer::Send(const SendSub& aSend)
-{
-  mSubrequests.Add();
-  ClientRequest request;
-  request.mAddress = aSend.mAddress;
-  request.mPath = "/v1/search";
-  request.mBody = *aSend.mBody;
-  request.mTimeout = aSend.mTimeout;
-  request.mExpectedHeader = { kHeaderSubrequest, fmt::to_string(aSend.mAttempt) };
-  request.mHeaders = {
-    { kHeaderSubrequest, fmt::to_string(aSend.mAttempt) },
-    { kHeaderDeadline,
-      fmt::to_string(std::chrono::floor<std::chrono::milliseconds>(aSend.mTimeout).count()) },
-    { kHeaderVersion, fmt::to_string(aSend.mVersion) },
-    { kHeaderMap, fmt::to_string(aSend.mShard.mMap) },
-  };
-  const AttemptId attempt = aSend.mAttempt;
-  mTransfers[attempt] =
-    mClient.Send(std::move(request),
-                 [this, attempt](const ClientReply& aReply) { OnSubReply(attempt, aReply); });
-}
-
-void
-EntryServer::OnSubReply(AttemptId aAttempt, const ClientReply& aReply)
-{
-  mTransfers.erase(aAttempt);
-  Actions actions;
-  const TimePoint now = SteadyNow();
-  if (aReply.mEnd == TransferEnd::Complete && aReply.mStatus == 200) {
-    auto reply = DecodeSubReply(aReply.mBody);
-    if (reply && reply->mAttempt == aAttempt) {
-      OnReply(mEngine, *std::move(reply), now, mRng, actions);
-    } else {
-      const std::string message = reply ? "crossed" : reply.error().mMessage;
-      LogEvent(Event::ReplyDiscarded, { { "attempt", aAttempt }, { "message", message } });
-      OnFailure(mEngine, { aAttempt, FailureKind::BadReply, message }, now, mRng, actions);
-    }
-  } else {
-    const SubFailure failure{ aAttempt, ClassifyReply(aReply), aReply.mMessage };
-    OnFailure(mEngine, failure, now, mRng, actions);
-  }
-  CarryOut(std::move(actions));
-}
-
-void
-EntryServer::Answer(const Respond& aRespond)
-{
-  const auto node = mPending.extract(aRespond.mAnswer.mQuery);
-  if (node.empty()) {
-    return;
-  }
-  mLatency.Record(aRespond.mAnswer.mElapsed);
-  HttpResponse response;
-  response.mStatus = Describe(aRespond.mAnswer.mResult).mHttpStatus;
-  response.mBody = EncodeAnswer(node.mapped().mRequestId, aRespond.mAnswer);
-  node.mapped().mRespond(std::move(response));
-}
-
-void
-EntryServer::ArmTimer()
-{
-  const std::optional<TimePoint> next = NextTimer(mEngine);
-  if (next == mTimerAt) {
-    return;
-  }
-  mLoop.CancelTimer(mTimer);
-  mTimerAt = next;
-  if (next) {
-    mTimer = mLoop.AddTimer(*next, [this] {
-      mTimerAt.reset();
-      Actions actions;
-      OnTimer(mEngine, SteadyNow(), mRng, actions);
-      CarryOut(std::move(actions));
-    });
-  }
-}
-
 void
 EntryServer::CheckLeases()
 {
@@ -386,6 +245,7 @@
   }
   if (!expired.empty()) {
     SetUpstreams(mEngine, ListUpstreams(mDirectory));
+    mQueryPath.Wake();
   }
 }
 
@@ -406,7 +266,7 @@
     return;
   }
   mStopping = true;
-  LogEvent(Event::ProcessStopping, { { "running", mPending.size() } });
+  LogEvent(Event::ProcessStopping, { { "running", mQueryPath.Running() } });
   const TimePoint now = SteadyNow();
   mStopAt = now + kAddressLifetime + kStopMargin;
   mStopLimit = now + kStopLimit;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -346,6 +346,22 @@
   }
 }
 
+bool
+HttpClient::IsSilent(TransferId aTransfer) const
+{
+  const auto found = mState->mTransfers.find(aTransfer);
+  if (found == mState->mTransfers.end()) {
+    return false;
+  }
+  long connects = 0;
+  curl_off_t sentAt = 0;
+  curl_off_t firstByteAt = 0;
+  curl_easy_getinfo(found->second->mEasy, CURLINFO_NUM_CONNECTS, &connects);
+  curl_easy_getinfo(found->second->mEasy, CURLINFO_PRETRANSFER_TIME_T, &sentAt);
+  curl_easy_getinfo(found->second->mEasy, CURLINFO_STARTTRANSFER_TIME_T, &firstByteAt);
+  return connects == 0 && sentAt > 0 && firstByteAt == 0;
+}
+
 std::size_t
 HttpClient::OpenTransfers() const
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -70,6 +70,8 @@
   // Ends a transfer without calling its handler. Its connection is closed unless the reply was
   // complete. Unknown identifiers are ignored.
   void Cancel(TransferId aTransfer);
+  // True if the transfer was sent on a reused connection and no byte of the reply has arrived.
+  bool IsSilent(TransferId aTransfer) const;
   std::size_t OpenTransfers() const;
   // Connections opened so far.
   std::uint64_t ConnectionsOpened() const;
--- /dev/null
+++ b/src/query_path.cpp
@@ -0,0 +1,306 @@
+#include "query_path.h"
+
+#include "codec.h"
+#include "log.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace apricotyard {
+
+namespace {
+
+// The transfer outlives the attempt by this time, so that the answer to a cancellation at the
+// deadline arrives and the connection is kept.
+constexpr Duration kCancelGrace = std::chrono::milliseconds(200);
+constexpr Duration kDeleteTimeout = std::chrono::seconds(1);
+constexpr std::size_t kMinKeyRandom = 8;
+constexpr std::size_t kMaxKeyRandom = 64;
+constexpr std::size_t kMaxKeyEpoch = 19;
+
+bool
+IsDigit(char aC)
+{
+  return aC >= '0' && aC <= '9';
+}
+
+bool
+IsKeyCharacter(char aC)
+{
+  return IsDigit(aC) || (aC >= 'a' && aC <= 'z') || (aC >= 'A' && aC <= 'Z') || aC == '-' ||
+         aC == '_';
+}
+
+} // namespace
+
+bool
+IsIdempotencyKey(std::string_view aKey)
+{
+  const std::size_t dot = aKey.find('.');
+  if (dot == std::string_view::npos || dot == 0 || dot > kMaxKeyEpoch) {
+    return false;
+  }
+  const std::string_view epoch = aKey.substr(0, dot);
+  const std::string_view random = aKey.substr(dot + 1);
+  return std::all_of(epoch.begin(), epoch.end(), IsDigit) && random.size() >= kMinKeyRandom &&
+         random.size() <= kMaxKeyRandom &&
+         std::all_of(random.begin(), random.end(), IsKeyCharacter);
+}
+
+FailureKind
+ClassifyReply(const ClientReply& aReply)
+{
+  switch (aReply.mEnd) {
+    case TransferEnd::NotConnected:
+      return FailureKind::NotConnected;
+    case TransferEnd::NotSent:
+      return FailureKind::NotSent;
+    case TransferEnd::Lost:
+      return FailureKind::Lost;
+    case TransferEnd::TimedOut:
+      return FailureKind::TimedOut;
+    case TransferEnd::TooLarge:
+    case TransferEnd::Crossed:
+      return FailureKind::BadReply;
+    case TransferEnd::Complete:
+      break;
+  }
+  if (aReply.Header(kHeaderNotRun) != "true") {
+    return FailureKind::ErrorStatus;
+  }
+  return aReply.mStatus == 409                   ? FailureKind::VersionGone
+         : aReply.Header("x-draining") == "true" ? FailureKind::Draining
+                                                 : FailureKind::Shed;
+}
+
+QueryPath::QueryPath(Loop& aLoop,
+                     MetricsRegistry& aMetrics,
+                     const std::string& aHost,
+                     const std::string& aDataCentre,
+                     const std::string& aSourceIp,
+                     std::uint64_t aIncarnation)
+  : mLoop(aLoop)
+  , mHost(aHost)
+  , mIncarnation(aIncarnation)
+  , mQueries(aMetrics.AddCounter("apricot_queries_total", "Queries received."))
+  , mSubrequests(aMetrics.AddCounter("apricot_subrequests_total", "Sub-requests sent."))
+  , mCancellations(aMetrics.AddCounter("apricot_cancellations_total", "Sub-requests cancelled."))
+  , mLatency(aMetrics.AddDistribution("apricot_query_seconds", "Time from arrival to answer."))
+  , mRng(aIncarnation)
+  , mClient(aLoop, aSourceIp, 0)
+{
+  mEngine.mHost = aHost;
+  mEngine.mDataCentre = aDataCentre;
+  // Attempt identifiers of an earlier incarnation are never used again.
+  mEngine.mNextAttempt = aIncarnation << 12U;
+}
+
+void
+QueryPath::SetHooks(QueryHooks aHooks)
+{
+  mHooks = std::move(aHooks);
+}
+
+void
+QueryPath::Register(QueryRequest& aRequest, HttpResponder aRespond)
+{
+  mQueries.Add();
+  aRequest.mId = mNextQuery++;
+  if (aRequest.mRequestId.empty()) {
+    aRequest.mRequestId = fmt::format("{}-{}-{}", mHost, mIncarnation, aRequest.mId);
+  }
+  mPending.emplace(aRequest.mId, Pending{ aRequest.mRequestId, std::move(aRespond) });
+}
+
+void
+QueryPath::Query(QueryRequest aRequest, HttpResponder aRespond)
+{
+  Register(aRequest, std::move(aRespond));
+  Actions actions;
+  SubmitQuery(mEngine, std::move(aRequest), SteadyNow(), mRng, actions);
+  CarryOut(std::move(actions));
+}
+
+void
+QueryPath::Submit(QueryRequest aRequest, std::string aKey, HttpResponder aRespond)
+{
+  Register(aRequest, std::move(aRespond));
+  Actions actions;
+  SubmitUnrepeatable(mEngine, { std::move(aRequest), std::move(aKey) }, SteadyNow(), mRng, actions);
+  CarryOut(std::move(actions));
+}
+
+void
+QueryPath::Wake()
+{
+  Actions actions;
+  OnTimer(mEngine, SteadyNow(), mRng, actions);
+  CarryOut(std::move(actions));
+}
+
+void
+QueryPath::CarryOut(Actions aActions)
+{
+  for (const Action& action : aActions) {
+    if (const auto* const send = std::get_if<SendSub>(&action)) {
+      Send(*send);
+    } else if (const auto* const cancel = std::get_if<CancelSub>(&action)) {
+      Cancel(*cancel);
+    } else if (const auto* const respond = std::get_if<Respond>(&action)) {
+      Answer(*respond);
+    } else if (const auto* const decision = std::get_if<LogDecision>(&action)) {
+      LogEvent(decision->mEvent, decision->mFields);
+    } else if (const auto* const claim = std::get_if<ClaimRequest>(&action)) {
+      Claim(*claim);
+    } else if (const auto* const outcome = std::get_if<RecordOutcome>(&action)) {
+      if (mHooks.mRecordOutcome) {
+        mHooks.mRecordOutcome(*outcome);
+      }
+    } else if (const auto* const share = std::get_if<ShareStrike>(&action)) {
+      if (mHooks.mShareStrike) {
+        mHooks.mShareStrike(share->mStrike);
+      }
+    }
+  }
+  ArmTimer();
+}
+
+void
+QueryPath::Send(const SendSub& aSend)
+{
+  mSubrequests.Add();
+  ClientRequest request;
+  request.mAddress = aSend.mAddress;
+  request.mPath = "/v1/search";
+  request.mBody = *aSend.mBody;
+  request.mTimeout = aSend.mTimeout + kCancelGrace;
+  request.mFreshConnection = aSend.mFreshConnection;
+  request.mExpectedHeader = { kHeaderSubrequest, fmt::to_string(aSend.mAttempt) };
+  request.mHeaders = {
+    { kHeaderSubrequest, fmt::to_string(aSend.mAttempt) },
+    { kHeaderDeadline,
+      fmt::to_string(std::chrono::floor<std::chrono::milliseconds>(aSend.mTimeout).count()) },
+    { kHeaderVersion, fmt::to_string(aSend.mVersion) },
+    { kHeaderMap, fmt::to_string(aSend.mShard.mMap) },
+  };
+  const AttemptId attempt = aSend.mAttempt;
+  Transfer& transfer = mTransfers[attempt];
+  if (aSend.mSilence > Duration::zero()) {
+    transfer.mSilenceTimer =
+      mLoop.AddTimer(SteadyNow() + aSend.mSilence, [this, attempt] { OnSilence(attempt); });
+  }
+  transfer.mId = mClient.Send(std::move(request), [this, attempt](const ClientReply& aReply) {
+    OnSubReply(attempt, aReply);
+  });
+}
+
+void
+QueryPath::Cancel(const CancelSub& aCancel)
+{
+  if (!mTransfers.contains(aCancel.mAttempt)) {
+    return;
+  }
+  mCancellations.Add();
+  ClientRequest request;
+  request.mMethod = "DELETE";
+  request.mAddress = aCancel.mAddress;
+  request.mPath = fmt::format("/v1/search/{}", aCancel.mAttempt);
+  request.mTimeout = kDeleteTimeout;
+  mClient.Send(std::move(request), [](const ClientReply&) {});
+}
+
+void
+QueryPath::Claim(const ClaimRequest& aClaim)
+{
+  const auto answer = [this](ClaimReply aReply) {
+    Actions actions;
+    OnClaim(mEngine, std::move(aReply), SteadyNow(), mRng, actions);
+    CarryOut(std::move(actions));
+  };
+  if (mHooks.mClaim) {
+    mHooks.mClaim(aClaim, answer);
+  } else {
+    answer({ aClaim.mQuery, ClaimState::Refused, Result::ClaimRefused, {} });
+  }
+}
+
+void
+QueryPath::OnSubReply(AttemptId aAttempt, const ClientReply& aReply)
+{
+  const auto transfer = mTransfers.extract(aAttempt);
+  if (!transfer.empty()) {
+    mLoop.CancelTimer(transfer.mapped().mSilenceTimer);
+  }
+  Actions actions;
+  const TimePoint now = SteadyNow();
+  if (aReply.mEnd == TransferEnd::Complete && aReply.mStatus == 200) {
+    auto reply = DecodeSubReply(aReply.mBody);
+    if (reply && reply->mAttempt == aAttempt) {
+      OnReply(mEngine, *std::move(reply), now, mRng, actions);
+    } else {
+      const std::string message = reply ? "crossed" : reply.error().mMessage;
+      LogEvent(Event::ReplyDiscarded, { { "attempt", aAttempt }, { "message", message } });
+      OnFailure(mEngine, { aAttempt, FailureKind::BadReply, message }, now, mRng, actions);
+    }
+  } else {
+    const SubFailure failure{ aAttempt, ClassifyReply(aReply), aReply.mMessage };
+    OnFailure(mEngine, failure, now, mRng, actions);
+  }
+  CarryOut(std::move(actions));
+}
+
+void
+QueryPath::OnSilence(AttemptId aAttempt)
+{
+  const auto transfer = mTransfers.find(aAttempt);
+  if (transfer == mTransfers.end() || !mClient.IsSilent(transfer->second.mId)) {
+    return;
+  }
+  mClient.Cancel(transfer->second.mId);
+  mTransfers.erase(transfer);
+  Actions actions;
+  OnFailure(mEngine,
+            { aAttempt, FailureKind::Silent, "no byte on a reused connection" },
+            SteadyNow(),
+            mRng,
+            actions);
+  CarryOut(std::move(actions));
+}
+
+void
+QueryPath::Answer(const Respond& aRespond)
+{
+  const auto node = mPending.extract(aRespond.mAnswer.mQuery);
+  if (node.empty()) {
+    return;
+  }
+  mLatency.Record(aRespond.mAnswer.mElapsed);
+  HttpResponse response;
+  response.mStatus = Describe(aRespond.mAnswer.mResult).mHttpStatus;
+  response.mBody = EncodeAnswer(node.mapped().mRequestId, aRespond.mAnswer);
+  if (aRespond.mAnswer.mRetryAfter > Duration::zero()) {
+    const auto wait = std::chrono::ceil<std::chrono::seconds>(aRespond.mAnswer.mRetryAfter);
+    response.mHeaders.push_back({ "Retry-After", fmt::to_string(wait.count()) });
+  }
+  node.mapped().mRespond(std::move(response));
+}
+
+void
+QueryPath::ArmTimer()
+{
+  const std::optional<TimePoint> next = NextTimer(mEngine);
+  if (next == mTimerAt) {
+    return;
+  }
+  mLoop.CancelTimer(mTimer);
+  mTimerAt = next;
+  if (next) {
+    mTimer = mLoop.AddTimer(*next, [this] {
+      mTimerAt.reset();
+      Wake();
+    });
+  }
+}
+
+} // namespace apricotyard
--- a/tests/test_submit.cpp
+++ b/tests/test_submit.cpp
@@ -1,5 +1,6 @@
 // Guards against unrepeatable requests that run twice, and against a "not run" that is not true.
 #include "engine_rig.h"
+#include "query_path.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -42,6 +43,8 @@
   CPPUNIT_TEST(LateReplyRecordsTheOutcome);
   CPPUNIT_TEST(NeedsExactlyOneShard);
   CPPUNIT_TEST(RefusalsPromiseNotRun);
+  CPPUNIT_TEST(UnrepeatableClassNeedsAKey);
+  CPPUNIT_TEST(ChecksTheFormOfTheKey);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,6 +192,35 @@
       CPPUNIT_ASSERT(!Describe(answer.mResult).mMayHaveRun);
     }
   }
+
+  // A pledge sent as an ordinary query is hedged and retried.
+  void UnrepeatableClassNeedsAKey()
+  {
+    Rig rig;
+    rig.mConfig.mClasses["check"].mRepeatable = false;
+    SetConfig(rig.mEngine, std::make_shared<const Config>(rig.mConfig));
+    const QueryId query = rig.Submit();
+    CPPUNIT_ASSERT(rig.mAnswers.at(query).mResult == Result::UseSubmit && rig.mSent.empty());
+  }
+
+  void ChecksTheFormOfTheKey()
+  {
+    for (const char* const good : { "0.abcdefgh", "123.AZ-_09az" }) {
+      CPPUNIT_ASSERT_MESSAGE(good, IsIdempotencyKey(good));
+    }
+    for (const char* const bad : { "",
+                                   ".",
+                                   "1",
+                                   "1.",
+                                   "1.short",
+                                   ".abcdefgh",
+                                   "x.abcdefgh",
+                                   "1.abc defgh",
+                                   "1.abcd.efgh",
+                                   "12345678901234567890.abcdefgh" }) {
+      CPPUNIT_ASSERT_MESSAGE(bad, !IsIdempotencyKey(bad));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SubmitTest);
