--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -4,13 +4,14 @@
 #include "codec.h"
 #include "control_client.h"
 #include "discovery_node.h"
-#include "engine.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "log.h"
 #include "loop.h"
 #include "metrics.h"
-#include "upstream_reply.h"
+#include "query_path.h"
+
+#include <deque>
 
 #include <fmt/format.h>
 #include <grpcpp/grpcpp.h>
@@ -28,6 +29,10 @@
 constexpr Duration kForwardMargin = std::chrono::milliseconds(250);
 // How soon a lost or regained right to serve shows in the address answers.
 constexpr Duration kMayServeInterval = std::chrono::milliseconds(200);
+// Time for a claim and for the record of its outcome; control may have to elect a leader.
+constexpr Duration kClaimPatience = std::chrono::seconds(2);
+constexpr Duration kOutcomePatience = std::chrono::seconds(10);
+constexpr std::size_t kMaxClaimIds = 100'000;
 constexpr std::size_t kMaxAnnouncement = std::size_t{ 16 } * 1024;
 
 std::uint64_t
@@ -49,6 +54,48 @@
   return epoch;
 }
 
+// The claim identifiers of the latest submissions by idempotency key; a late outcome needs them.
+struct ClaimIds
+{
+  absl::flat_hash_map<std::string, std::uint64_t> mIds;
+  std::deque<std::string> mOrder;
+};
+
+void
+AddClaimId(ClaimIds& aIds, const std::string& aKey, std::uint64_t aId)
+{
+  if (aIds.mIds.insert_or_assign(aKey, aId).second) {
+    aIds.mOrder.push_back(aKey);
+  }
+  if (aIds.mOrder.size() > kMaxClaimIds) {
+    aIds.mIds.erase(aIds.mOrder.front());
+    aIds.mOrder.pop_front();
+  }
+}
+
+std::optional<std::uint64_t>
+FindClaimId(const ClaimIds& aIds, const std::string& aKey)
+{
+  const auto found = aIds.mIds.find(aKey);
+  return found == aIds.mIds.end() ? std::nullopt : std::optional(found->second);
+}
+
+ClaimReply
+ReadClaimReply(QueryId aQuery, const rpc::ClaimReply& aReply)
+{
+  switch (static_cast<Result>(aReply.result())) {
+    case Result::Ok:
+      return { aQuery, ClaimState::Granted, Result::Ok, {} };
+    case Result::OutcomeRecorded:
+      return { aQuery, ClaimState::Known, static_cast<Result>(aReply.outcome()), aReply.body() };
+    case Result::ClaimHeld:
+    case Result::ClaimOutcomeUnknown:
+      return { aQuery, ClaimState::OutcomeUnknown, Result::OutcomeUnknown, {} };
+    default:
+      return { aQuery, ClaimState::Refused, static_cast<Result>(aReply.result()), {} };
+  }
+}
+
 class EntryServer
 {
 public:
@@ -56,29 +103,22 @@
   int Run();
 
 private:
-  struct PendingQuery
-  {
-    std::string mRequestId;
-    HttpResponder mRespond;
-  };
-
   void HandleRequest(HttpRequest aRequest, const HttpResponder& aRespond);
+  // POST /v1/query and POST /v1/submit.
   void HandleQuery(const HttpRequest& aRequest, const HttpResponder& aRespond);
   void HandleAnnounce(const HttpRequest& aRequest, const HttpResponder& aRespond);
   void HandleAddresses(const HttpRequest& aRequest, const HttpResponder& aRespond);
   void HandleStatus(const HttpResponder& aRespond);
-  void CarryOut(Actions aActions);
-  void Send(const SendSub& aSend);
-  void OnSubReply(AttemptId aAttempt, const ClientReply& aReply);
-  void Answer(const Respond& aRespond);
-  void ArmTimer();
   bool Forward(const HttpRequest& aRequest,
                const QueryRequest& aQuery,
                const HttpResponder& aRespond);
   Duration ForwardTimeout(const QueryRequest& aQuery) const;
   DiscoveryHooks MakeDiscoveryHooks();
+  QueryHooks MakeQueryHooks();
+  void MakeClaim(const ClaimRequest& aClaim, const std::function<void(ClaimReply)>& aDone);
   void AdoptConfig(const ConfigUpdate& aUpdate);
   void AdoptView();
+  void AdoptUpstreams();
   void BeginStop();
   void FinishStop();
 
@@ -86,22 +126,18 @@
   std::uint64_t mIncarnation;
   Loop mLoop;
   MetricsRegistry mMetrics;
-  Counter& mQueries;
-  Counter& mSubrequests;
-  Distribution& mLatency;
-  Rng mRng;
-  Engine mEngine;
+  QueryPath mQueryPath;
+  Engine& mEngine;
+  // Connections to home hosts.
   HttpClient mClient;
   ControlClient mControl;
   // Served by the node below, so it is destroyed after it.
   std::unique_ptr<grpc::Service> mWitness;
   DiscoveryNode mDiscovery;
+  ClaimIds mClaimIds;
+  // As announced, before the operator's drains.
+  std::vector<UpstreamInfo> mUpstreams;
   std::unique_ptr<HttpServer> mServer;
-  absl::flat_hash_map<QueryId, PendingQuery> mPending;
-  absl::flat_hash_map<AttemptId, TransferId> mTransfers;
-  QueryId mNextQuery = 1;
-  TimerId mTimer = 0;
-  std::optional<TimePoint> mTimerAt;
   bool mStopping = false;
   TimePoint mStopAt;
   TimePoint mStopLimit;
@@ -110,10 +146,13 @@
 EntryServer::EntryServer(const EntrySettings& aSettings)
   : mSettings(aSettings)
   , mIncarnation(NewIncarnation())
-  , mQueries(mMetrics.AddCounter("apricot_queries_total", "Queries received."))
-  , mSubrequests(mMetrics.AddCounter("apricot_subrequests_total", "Sub-requests sent."))
-  , mLatency(mMetrics.AddDistribution("apricot_query_seconds", "Time from arrival to answer."))
-  , mRng(mIncarnation)
+  , mQueryPath(mLoop,
+               mMetrics,
+               aSettings.mHost,
+               aSettings.mDataCentre,
+               aSettings.mAddress.mIp,
+               mIncarnation)
+  , mEngine(mQueryPath.State())
   , mClient(mLoop, aSettings.mAddress.mIp, 0)
   , mControl(mLoop,
              { aSettings.mHost,
@@ -134,9 +173,6 @@
                MakeDiscoveryHooks(),
                mMetrics)
 {
-  mEngine.mDataCentre = aSettings.mDataCentre;
-  // Attempt identifiers of an earlier incarnation are never used again.
-  mEngine.mNextAttempt = mIncarnation << 12U;
 }
 
 int
@@ -163,6 +199,7 @@
     return 1;
   }
   mControl.OnView([this] { AdoptView(); });
+  mQueryPath.SetHooks(MakeQueryHooks());
   mLoop.AddPeriodic(kMayServeInterval, [this] { mDiscovery.SetMayServe(mControl.MayServe()); });
   LogEvent(Event::ProcessStarted,
            { { "host", mSettings.mHost },
@@ -186,6 +223,7 @@
   };
   const Route routes[] = {
     { "POST", "/v1/query", [&] { HandleQuery(aRequest, aRespond); } },
+    { "POST", "/v1/submit", [&] { HandleQuery(aRequest, aRespond); } },
     { "POST", "/v1/announce", [&] { HandleAnnounce(aRequest, aRespond); } },
     { "GET", "/v1/addresses", [&] { HandleAddresses(aRequest, aRespond); } },
     { "GET", "/v1/status", [&] { HandleStatus(aRespond); } },
@@ -211,8 +249,7 @@
 void
 EntryServer::HandleQuery(const HttpRequest& aRequest, const HttpResponder& aRespond)
 {
-  mQueries.Add();
-  if (mStopping && mPending.size() > static_cast<std::size_t>(mSettings.mMaxConnections)) {
+  if (mStopping && mQueryPath.Running() > static_cast<std::size_t>(mSettings.mMaxConnections)) {
     aRespond(ErrorResponse(Result::Stopping, "the host is stopping"));
     return;
   }
@@ -225,14 +262,7 @@
     aRespond(ErrorResponse(request.error().mResult, request.error().mMessage));
     return;
   }
-  if (Forward(aRequest, *request, aRespond)) {
-    return;
-  }
-  request->mId = mNextQuery++;
-  const std::string_view given = aRequest.Header("x-request-id");
-  request->mRequestId = given.empty()
-                          ? fmt::format("{}-{}-{}", mSettings.mHost, mIncarnation, request->mId)
-                          : std::string(given.substr(0, 128));
+  request->mRequestId = aRequest.Header("x-request-id").substr(0, 128);
   if (mEngine.mConfig != nullptr) {
     const auto caller =
       IdentifyCaller(*mEngine.mConfig, BearerKey(aRequest.Header("authorization")));
@@ -245,10 +275,22 @@
     }
     request->mCaller = (*caller)->mName;
   }
-  mPending.emplace(request->mId, PendingQuery{ request->mRequestId, aRespond });
-  Actions actions;
-  SubmitQuery(mEngine, *std::move(request), SteadyNow(), mRng, actions);
-  CarryOut(std::move(actions));
+  const std::string_view key = aRequest.Header("idempotency-key");
+  const bool submission = aRequest.mPath == "/v1/submit";
+  if (submission && !IsIdempotencyKey(key)) {
+    aRespond(ErrorResponse(Result::BadRequest,
+                           "Idempotency-Key must have the form EPOCH.RANDOM with 8 to 64 letters, "
+                           "digits, '-' or '_' after the dot"));
+    return;
+  }
+  if (Forward(aRequest, *request, aRespond)) {
+    return;
+  }
+  if (submission) {
+    mQueryPath.Submit(*std::move(request), std::string(key), aRespond);
+  } else {
+    mQueryPath.Query(*std::move(request), aRespond);
+  }
 }
 
 void
@@ -292,7 +334,9 @@
   const auto answer = mDiscovery.AddressAnswer(std::string(aRequest.Argument("collection")),
                                                std::string(aRequest.Argument("data_centre")));
   if (answer) {
-    aRespond({ 200, *answer });
+    nlohmann::json body = nlohmann::json::parse(*answer);
+    body["claim_epoch"] = mControl.View().mClaimEpoch;
+    aRespond({ 200, body.dump() });
   } else {
     aRespond(ErrorResponse(answer.error().mResult, answer.error().mMessage));
   }
@@ -302,8 +346,10 @@
 EntryServer::MakeDiscoveryHooks()
 {
   DiscoveryHooks hooks;
+  hooks.mServices = { mWitness.get() };
   hooks.mSetUpstreams = [this](const std::vector<UpstreamInfo>& aUpstreams) {
-    SetUpstreams(mEngine, aUpstreams);
+    mUpstreams = aUpstreams;
+    AdoptUpstreams();
   };
   hooks.mSetShares = [this](const std::map<std::string, ReplicaShare>& aShares) {
     std::map<std::string, std::uint32_t> slots;
@@ -311,11 +357,81 @@
       slots[upstream] = share.mSlots;
     }
     SetShares(mEngine, std::move(slots));
+    mQueryPath.Wake();
   };
-  hooks.mLoad = [this] { return mPending.size(); };
+  hooks.mSuspect = [this](const rpc::SuspectRequest& aRequest) {
+    Strike strike;
+    strike.mFingerprint = std::strtoull(aRequest.fingerprint().c_str(), nullptr, 16);
+    strike.mHost = aRequest.sender().host();
+    strike.mUpstream = aRequest.upstream();
+    strike.mIncarnation = aRequest.upstream_incarnation();
+    strike.mAlone = aRequest.alone();
+    OnSharedStrike(mEngine, strike, SteadyNow());
+    mQueryPath.Wake();
+  };
+  hooks.mLoad = [this] { return mQueryPath.Running(); };
   return hooks;
 }
 
+// Hands the announced upstreams to the engine. An upstream that an operator drains gets no new
+// work, whatever it announces itself.
+void
+EntryServer::AdoptUpstreams()
+{
+  std::vector<UpstreamInfo> upstreams = mUpstreams;
+  const std::vector<std::string>& drains = mControl.View().mDrains;
+  for (UpstreamInfo& info : upstreams) {
+    const bool drained = std::find(drains.begin(), drains.end(), info.mId) != drains.end();
+    if (drained && info.mState == UpstreamState::Ready) {
+      info.mState = UpstreamState::Draining;
+    }
+  }
+  SetUpstreams(mEngine, upstreams);
+  mQueryPath.Wake();
+}
+
+QueryHooks
+EntryServer::MakeQueryHooks()
+{
+  QueryHooks hooks;
+  hooks.mClaim = [this](const ClaimRequest& aClaim, const std::function<void(ClaimReply)>& aDone) {
+    MakeClaim(aClaim, aDone);
+  };
+  hooks.mRecordOutcome = [this](const RecordOutcome& aOutcome) {
+    if (const auto id = FindClaimId(mClaimIds, aOutcome.mKey)) {
+      mControl.RecordOutcome(aOutcome.mKey,
+                             *id,
+                             aOutcome.mResult,
+                             aOutcome.mBody,
+                             SteadyNow() + kOutcomePatience,
+                             [](const rpc::ClaimReply&) {});
+    }
+  };
+  hooks.mShareStrike = [this](const Strike& aStrike) {
+    rpc::SuspectRequest request;
+    request.set_fingerprint(fmt::format("{:x}", aStrike.mFingerprint));
+    request.set_upstream(aStrike.mUpstream);
+    request.set_upstream_incarnation(aStrike.mIncarnation);
+    request.set_alone(aStrike.mAlone);
+    mDiscovery.SendSuspect(request);
+  };
+  return hooks;
+}
+
+void
+EntryServer::MakeClaim(const ClaimRequest& aClaim, const std::function<void(ClaimReply)>& aDone)
+{
+  const std::uint64_t id = aClaim.mQuery;
+  AddClaimId(mClaimIds, aClaim.mKey, id);
+  mControl.Claim(aClaim.mKey,
+                 aClaim.mFingerprint,
+                 id,
+                 SteadyNow() + kClaimPatience,
+                 [query = aClaim.mQuery, aDone](const rpc::ClaimReply& aReply) {
+                   aDone(ReadClaimReply(query, aReply));
+                 });
+}
+
 Duration
 EntryServer::ForwardTimeout(const QueryRequest& aQuery) const
 {
@@ -380,106 +496,10 @@
   body["host"] = mSettings.mHost;
   body["incarnation"] = mIncarnation;
   body["revision"] = mEngine.mConfig ? mEngine.mConfig->mRevision : 0;
-  body["running"] = mPending.size();
+  body["running"] = mQueryPath.Running();
   aRespond({ 200, body.dump() });
 }
 
-void
-EntryServer::CarryOut(Actions aActions)
-{
-  for (Action& action : aActions) {
-    if (const auto* const send = std::get_if<SendSub>(&action)) {
-      Send(*send);
-    } else if (const auto* const cancel = std::get_if<CancelSub>(&action)) {
-      const auto transfer = mTransfers.find(cancel->mAttempt);
-      if (transfer != mTransfers.end()) {
-        mClient.Cancel(transfer->second);
-        mTransfers.erase(transfer);
-      }
-    } else if (const auto* const respond = std::get_if<Respond>(&action)) {
-      Answer(*respond);
-    } else if (const auto* const decision = std::get_if<LogDecision>(&action)) {
-      LogEvent(decision->mEvent, decision->mFields);
-    }
-  }
-  ArmTimer();
-}
-
-void
-EntryServer::Send(const SendSub& aSend)
-{
-  mSubrequests.Add();
-  ClientRequest request;
-  request.mAddress = aSend.mAddress;
-  request.mPath = "/v1/search";
-  request.mBody = *aSend.mBody;
-  request.mTimeout = aSend.mTimeout;
-  request.mExpectedHeader = { kHeaderSubrequest, fmt::to_string(aSend.mAttempt) };
-  request.mHeaders = {
-    { kHeaderSubrequest, fmt::to_string(aSend.mAttempt) },
-    { kHeaderDeadline,
-      fmt::to_string(std::chrono::floor<std::chrono::milliseconds>(aSend.mTimeout).count()) },
-    { kHeaderVersion, fmt::to_string(aSend.mVersion) },
-    { kHeaderMap, fmt::to_string(aSend.mShard.mMap) },
-  };
-  const AttemptId attempt = aSend.mAttempt;
-  mTransfers[attempt] =
-    mClient.Send(std::move(request),
-                 [this, attempt](const ClientReply& aReply) { OnSubReply(attempt, aReply); });
-}
-
-void
-EntryServer::OnSubReply(AttemptId aAttempt, const ClientReply& aReply)
-{
-  mTransfers.erase(aAttempt);
-  Actions actions;
-  const TimePoint now = SteadyNow();
-  auto outcome = ReadUpstreamReply(aAttempt, aReply);
-  if (auto* const reply = std::get_if<SubReply>(&outcome)) {
-    OnReply(mEngine, std::move(*reply), now, mRng, actions);
-  } else {
-    const SubFailure& failure = std::get<SubFailure>(outcome);
-    if (failure.mKind == FailureKind::BadReply) {
-      LogEvent(Event::ReplyDiscarded, { { "attempt", aAttempt }, { "message", failure.mMessage } });
-    }
-    OnFailure(mEngine, failure, now, mRng, actions);
-  }
-  CarryOut(std::move(actions));
-}
-
-void
-EntryServer::Answer(const Respond& aRespond)
-{
-  const auto node = mPending.extract(aRespond.mAnswer.mQuery);
-  if (node.empty()) {
-    return;
-  }
-  mLatency.Record(aRespond.mAnswer.mElapsed);
-  HttpResponse response;
-  response.mStatus = Describe(aRespond.mAnswer.mResult).mHttpStatus;
-  response.mBody = EncodeAnswer(node.mapped().mRequestId, aRespond.mAnswer);
-  node.mapped().mRespond(std::move(response));
-}
-
-void
-EntryServer::ArmTimer()
-{
-  const std::optional<TimePoint> next = NextTimer(mEngine);
-  if (next == mTimerAt) {
-    return;
-  }
-  mLoop.CancelTimer(mTimer);
-  mTimerAt = next;
-  if (next) {
-    mTimer = mLoop.AddTimer(*next, [this] {
-      mTimerAt.reset();
-      Actions actions;
-      OnTimer(mEngine, SteadyNow(), mRng, actions);
-      CarryOut(std::move(actions));
-    });
-  }
-}
-
 void
 EntryServer::AdoptConfig(const ConfigUpdate& aUpdate)
 {
@@ -507,6 +527,7 @@
   mDiscovery.SetPeers(peers);
   mDiscovery.SetRoster(ToRosterEpoch(newest),
                        pending ? std::optional(ToRosterEpoch(view.mSettled)) : std::nullopt);
+  AdoptUpstreams();
 }
 
 void
@@ -516,7 +537,7 @@
     return;
   }
   mStopping = true;
-  LogEvent(Event::ProcessStopping, { { "running", mPending.size() } });
+  LogEvent(Event::ProcessStopping, { { "running", mQueryPath.Running() } });
   mDiscovery.BeginLeaving();
   const TimePoint now = SteadyNow();
   mStopAt = now + kAddressLifetime + kStopMargin;
