--- a/src/discovery_node.cpp
+++ b/src/discovery_node.cpp
@@ -175,6 +175,7 @@
   Gauge& mListed;
   Gauge& mBytesSent;
   Gauge& mBytesReceived;
+  Gauge& mMessagesSent;
   Gauge& mSlots;
 
   Impl(Loop& aLoop, DiscoveryIdentity aIdentity, DiscoveryHooks aHooks, MetricsRegistry& aMetrics)
@@ -188,6 +189,8 @@
     , mBytesReceived(
         aMetrics.AddGauge("apricot_peer_received_bytes",
                           "Encoded messages received from other entry hosts since the start."))
+    , mMessagesSent(aMetrics.AddGauge("apricot_peer_sent_messages",
+                                      "Messages sent to other entry hosts since the start."))
     , mSlots(aMetrics.AddGauge("apricot_share_slots", "Upstream slots that this host may use."))
   {
     mDirectory.mHost = mDetector.mHost = mShares.mHost = mIdentity.mHost;
@@ -621,6 +624,7 @@
     if (mService != nullptr) {
       const PeerTraffic traffic = mService->Traffic();
       mBytesSent.Set(static_cast<double>(traffic.mBytesSent));
+      mMessagesSent.Set(static_cast<double>(traffic.mMessagesSent));
       mBytesReceived.Set(static_cast<double>(traffic.mBytesReceived));
     }
   }
--- a/src/failure_detector.cpp
+++ b/src/failure_detector.cpp
@@ -242,7 +242,7 @@
   }
   peer.mHeardAt = std::max(peer.mHeardAt, aNow);
   peer.mProbedSince.reset();
-  const auto change = Apply(aDetector, aPeer, peer, kHeard, aNow);
+  auto change = Apply(aDetector, aPeer, peer, kHeard, aNow);
   if (change) {
     // Only the subject may deny for others; this host just stops spreading its own suspicion.
     aDetector.mRumours.erase(aPeer);
@@ -297,7 +297,7 @@
     peer.mIncarnation = aRumour.mIncarnation;
     peer.mDenial = aRumour.mDenial;
   }
-  const auto change = Apply(aDetector, aRumour.mSubject, peer, kReported, aNow);
+  auto change = Apply(aDetector, aRumour.mSubject, peer, kReported, aNow);
   if (change) {
     aDetector.mWatched.insert(aRumour.mSubject);
     Spread(aDetector, { aRumour.mSubject, peer.mIncarnation, peer.mDenial, PeerState::Suspect });
--- a/tests/test_gossip.cpp
+++ b/tests/test_gossip.cpp
@@ -172,9 +172,9 @@
         mostBytes / 1000,
         largest);
     }
-    CPPUNIT_ASSERT(largest <= 16 * 1024);
+    CPPUNIT_ASSERT(largest <= std::size_t{ 16 } * 1024);
     // 25 flushes/s at most to kFanout peers, and as much again for heartbeats and digests.
-    CPPUNIT_ASSERT(most <= 3 * 25 * kFanout * 2);
+    CPPUNIT_ASSERT(most <= std::size_t{ 3 } * 25 * kFanout * 2);
   }
 
   // Guards against a joining host that pulls everything in one message or waits for pushes.
@@ -201,7 +201,7 @@
         largest);
     }
     CPPUNIT_ASSERT(took <= seconds(3));
-    CPPUNIT_ASSERT(largest <= 16 * 1024);
+    CPPUNIT_ASSERT(largest <= std::size_t{ 16 } * 1024);
   }
 
   // Guards against a full copy after a partition: only what changed may be transferred.
@@ -321,7 +321,8 @@
     const std::size_t pingBytes = ping.ByteSizeLong();
     CPPUNIT_ASSERT(pingBytes <= 40);
     CPPUNIT_ASSERT(pull.ByteSizeLong() <= 40 + sizeof(Digest));
-    CPPUNIT_ASSERT(kMaxRecordsPerMessage * (message.ByteSizeLong() + 3) <= 16 * 1024);
+    CPPUNIT_ASSERT(kMaxRecordsPerMessage * (message.ByteSizeLong() + 3) <=
+                   std::size_t{ 16 } * 1024);
     const auto back = FromMessage(message);
     CPPUNIT_ASSERT(back && back->mInfo == record.mInfo);
 
