--- a/src/authority.cpp
+++ b/src/authority.cpp
@@ -142,13 +142,11 @@
     const auto gone = aGone.find(witness);
     const bool ended = gone != aGone.end() && (contact == aControl.mContacts.end() ||
                                                contact->second.mIncarnation <= gone->second);
-    if (ended) {
-      // A process that has ended grants nothing, so it stands for agreement.
-      good += 1;
-    } else if (contact != aControl.mContacts.end() &&
-               aNow >= contact->second.mFirst + kGrantedLease && aCondition(contact->second)) {
-      good += 1;
-    }
+    const bool agrees = contact != aControl.mContacts.end() &&
+                        aNow >= contact->second.mFirst + kGrantedLease &&
+                        aCondition(contact->second);
+    // A process that has ended grants nothing, so it stands for agreement.
+    good += ended || agrees ? 1 : 0;
   }
   return aWitnesses.empty() || good * 2 > aWitnesses.size();
 }
--- a/src/ctl_api.cpp
+++ b/src/ctl_api.cpp
@@ -164,6 +164,8 @@
     case Result::Unauthorized:
     case Result::Forbidden:
       return kExitNotAllowed;
+    case Result::Internal:
+      return kExitOutcomeUnknown;
     default:
       return kExitFailure;
   }
--- a/src/ctl_commands.cpp
+++ b/src/ctl_commands.cpp
@@ -777,6 +777,13 @@
                    "state the admin_address of one or more control hosts");
         return kExitUsage;
       }
+      const bool hasDryRun = command.mRun == ConfigSubmit || command.mRun == ConfigRollback;
+      if (aOptions.mDryRun && !hasDryRun) {
+        PrintError("this command has no --dry-run",
+                   "nothing was changed",
+                   "only config submit and config rollback have it");
+        return kExitUsage;
+      }
       return command.mRun(aOptions, aWords);
     }
   }
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -10,7 +10,10 @@
   aReader.Text("host", Presence::Required, 1, 64, aSettings.mHost);
   aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
   aReader.Address("address", Presence::Required, aSettings.mAddress);
-  aReader.Address("peer_address", Presence::Optional, aSettings.mPeerAddress);
+  // An address without a value has no text form that could be read back.
+  if (aReader.Has("peer_address")) {
+    aReader.Address("peer_address", Presence::Required, aSettings.mPeerAddress);
+  }
   aReader.AddressList("control", Presence::Required, aSettings.mControl);
   if (aReader.Has("control") && aSettings.mControl.empty()) {
     aReader.Problem("control", "at least one control host is needed");
--- a/tests/test_admin.cpp
+++ b/tests/test_admin.cpp
@@ -579,6 +579,13 @@
     }
     CPPUNIT_ASSERT_EQUAL(kExitUsage, RunCommand({}, { "status" }));
     CPPUNIT_ASSERT_EQUAL(kExitUsage, RunCommand({}, { "members", "add", "only-id" }));
+    // A command that ignored --dry-run would make the change.
+    CtlOptions dryRun;
+    dryRun.mTarget.mAddresses = { { kIp, 7920 } };
+    dryRun.mTarget.mTimeout = std::chrono::milliseconds(1);
+    dryRun.mDryRun = true;
+    dryRun.mYes = true;
+    CPPUNIT_ASSERT_EQUAL(kExitUsage, RunCommand(dryRun, { "drain", "u1" }));
   }
 };
 
