--- a/src/admin.cpp
+++ b/src/admin.cpp
@@ -569,7 +569,7 @@
 Routes()
 {
   using K = FieldKind;
-  static const std::vector<AdminRoute> kRoutes = {
+  static const std::vector<AdminRoute> sRoutes = {
     { "GET", "/v1/admin/status", {}, "", false, false, GetStatus },
     { "GET", "/v1/admin/config", {}, "", false, true, GetConfig },
     { "POST",
@@ -684,7 +684,7 @@
       true,
       [](const AdminCall& aCall) { ListAudit(aCall, false); } },
   };
-  return kRoutes;
+  return sRoutes;
 }
 
 // Checks key, fields and confirmation, in this order, so that a caller without a key learns nothing
--- a/src/control_state.cpp
+++ b/src/control_state.cpp
@@ -898,9 +898,9 @@
 const std::string*
 FindDocument(const ControlState& aState, Revision aRevision)
 {
-  static const std::string kEmpty;
+  static const std::string sEmpty;
   if (aRevision == 0) {
-    return &kEmpty;
+    return &sEmpty;
   }
   const auto found = aState.mRevisions.find(aRevision);
   return found == aState.mRevisions.end() ? nullptr : &found->second;
