--- a/src/bench_world.cpp
+++ b/src/bench_world.cpp
@@ -593,7 +593,7 @@
 void
 World::SendReply(std::size_t aSub)
 {
-  const Sub& sub = mSubs[aSub];
+  Sub& sub = mSubs[aSub];
   const FakeFaults& faults = mReplicas[sub.mReplica].mFaults;
   const Duration back = OneWay(sub.mHost, sub.mReplica);
   if (faults.mDropReplies || faults.mIsolated || mConnections[sub.mConnection].mSilent) {
@@ -616,6 +616,9 @@
   } else if (faults.mCrossed) {
     --reply.mAttempt;
   }
+  // A reply states honestly what was searched; merging it in spite of that is a violation.
+  sub.mVersion = reply.mVersion;
+  sub.mShard = reply.mShard;
   const bool duplicate = faults.mDuplicate;
   Post(mNow + back, [this, aSub, reply, duplicate] {
     Sub& done = mSubs[aSub];
--- a/src/load.cpp
+++ b/src/load.cpp
@@ -257,7 +257,7 @@
 }
 
 Json
-Summarize(Report& aReport)
+Summarize(Report aReport)
 {
   std::sort(aReport.mLatencies.begin(), aReport.mLatencies.end());
   return { { "queries", aReport.mLatencies.size() },
@@ -272,10 +272,10 @@
 }
 
 void
-PrintReport(bool aJson, std::map<std::string, Report> aReports)
+PrintReport(bool aJson, const std::map<std::string, Report>& aReports)
 {
   Json all = Json::object();
-  for (auto& [name, report] : aReports) {
+  for (const auto& [name, report] : aReports) {
     all[name] = Summarize(report);
   }
   if (aJson) {
