--- a/src/query_path.cpp
+++ b/src/query_path.cpp
@@ -119,7 +119,7 @@
   Register(aRequest, std::move(aRespond));
   Actions actions;
   SubmitQuery(mEngine, std::move(aRequest), SteadyNow(), mRng, actions);
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
@@ -128,7 +128,7 @@
   Register(aRequest, std::move(aRespond));
   Actions actions;
   SubmitUnrepeatable(mEngine, { std::move(aRequest), std::move(aKey) }, SteadyNow(), mRng, actions);
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
@@ -136,11 +136,11 @@
 {
   Actions actions;
   OnTimer(mEngine, SteadyNow(), mRng, actions);
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
-QueryPath::CarryOut(Actions aActions)
+QueryPath::CarryOut(const Actions& aActions)
 {
   for (const Action& action : aActions) {
     if (const auto* const send = std::get_if<SendSub>(&action)) {
@@ -216,7 +216,7 @@
   const auto answer = [this](ClaimReply aReply) {
     Actions actions;
     OnClaim(mEngine, std::move(aReply), SteadyNow(), mRng, actions);
-    CarryOut(std::move(actions));
+    CarryOut(actions);
   };
   if (mHooks.mClaim) {
     mHooks.mClaim(aClaim, answer);
@@ -247,7 +247,7 @@
     const SubFailure failure{ aAttempt, ClassifyReply(aReply), aReply.mMessage };
     OnFailure(mEngine, failure, now, mRng, actions);
   }
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
@@ -265,7 +265,7 @@
             SteadyNow(),
             mRng,
             actions);
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
--- a/src/query_path.h
+++ b/src/query_path.h
@@ -60,7 +60,7 @@
   };
 
   void Register(QueryRequest& aRequest, HttpResponder aRespond);
-  void CarryOut(Actions aActions);
+  void CarryOut(const Actions& aActions);
   void Send(const SendSub& aSend);
   void Cancel(const CancelSub& aCancel);
   void Claim(const ClaimRequest& aClaim);
--- a/tests/engine_rig.h
+++ b/tests/engine_rig.h
@@ -41,6 +41,8 @@
   std::vector<ClaimRequest> mClaims;
   std::vector<RecordOutcome> mOutcomes;
   std::vector<Strike> mShared;
+  // How attempts failed that had not ended before.
+  std::map<AttemptId, FailureKind> mFirstFailures;
   // False: the test itself calls Reply and FailWith.
   bool mServe = true;
   QueryId mNextQuery = 1;
@@ -104,7 +106,7 @@
     SetUpstreams(mEngine, list);
     Actions actions;
     OnTimer(mEngine, mNow, mRng, actions);
-    CarryOut(std::move(actions));
+    CarryOutActions(std::move(actions));
   }
 
   QueryRequest MakeRequest(const std::string& aClass, const std::string& aCaller)
@@ -123,7 +125,7 @@
     const QueryId id = aRequest.mId;
     Actions actions;
     SubmitQuery(mEngine, std::move(aRequest), mNow, mRng, actions);
-    CarryOut(std::move(actions));
+    CarryOutActions(std::move(actions));
     return id;
   }
 
@@ -138,7 +140,7 @@
     const QueryId id = request.mId;
     Actions actions;
     SubmitUnrepeatable(mEngine, { std::move(request), aKey }, mNow, mRng, actions);
-    CarryOut(std::move(actions));
+    CarryOutActions(std::move(actions));
     return id;
   }
 
@@ -146,7 +148,7 @@
   {
     Actions actions;
     OnClaim(mEngine, { aQuery, aState, aResult, "7" }, mNow, mRng, actions);
-    CarryOut(std::move(actions));
+    CarryOutActions(std::move(actions));
   }
 
   void Reply(const SendSub& aSend)
@@ -158,14 +160,17 @@
   {
     Actions actions;
     OnReply(mEngine, std::move(aReply), mNow, mRng, actions);
-    CarryOut(std::move(actions));
+    CarryOutActions(std::move(actions));
   }
 
   void FailWith(const SendSub& aSend, FailureKind aKind)
   {
+    if (mEngine.mAttempts.contains(aSend.mAttempt)) {
+      mFirstFailures.emplace(aSend.mAttempt, aKind);
+    }
     Actions actions;
     OnFailure(mEngine, { aSend.mAttempt, aKind, "test" }, mNow, mRng, actions);
-    CarryOut(std::move(actions));
+    CarryOutActions(std::move(actions));
   }
 
   // Runs everything that is due until aUntil.
@@ -178,7 +183,7 @@
         mNow = std::max(mNow, *timer);
         Actions actions;
         OnTimer(mEngine, mNow, mRng, actions);
-        CarryOut(std::move(actions));
+        CarryOutActions(std::move(actions));
       } else if (haveEvent) {
         const auto node = mEvents.extract(mEvents.begin());
         mNow = std::max(mNow, node.key());
@@ -234,8 +239,7 @@
 
   std::map<std::string, std::vector<QueryId>> mOffered;
 
-private:
-  void CarryOut(Actions aActions)
+  void CarryOutActions(Actions aActions)
   {
     for (Action& action : aActions) {
       if (auto* const send = std::get_if<SendSub>(&action)) {
@@ -261,6 +265,7 @@
     }
   }
 
+private:
   void Serve(const SendSub& aSend)
   {
     SimulatedUpstream& upstream = mUpstreams.at(aSend.mUpstream);
