--- a/tests/test_engine_faults.cpp
+++ b/tests/test_engine_faults.cpp
@@ -107,7 +107,7 @@
         FailWith(send, static_cast<FailureKind>(Pick(10)));
         break;
       case 1:
-        ReplyWith({ send.mAttempt, send.mShard, send.mVersion + Pick(2), { Tag(send) } });
+        ReplyFromAnotherSnapshot(send);
         break;
       default:
         ReplyWith({ send.mAttempt, send.mShard, send.mVersion, { Tag(send) } });
@@ -115,6 +115,15 @@
     }
   }
 
+  // The items say where they come from, so that CheckAnswers sees if they are merged.
+  void ReplyFromAnotherSnapshot(const SendSub& aSend)
+  {
+    SendSub other = aSend;
+    other.mVersion += Pick(2);
+    other.mShard.mMap += static_cast<std::uint32_t>(Pick(2));
+    ReplyWith({ aSend.mAttempt, other.mShard, other.mVersion, { Tag(other) } });
+  }
+
   void SubmitAny()
   {
     if (Pick(4) != 0) {
