--- a/src/query_path.cpp
+++ b/src/query_path.cpp
@@ -94,7 +94,7 @@
   Register(aRequest, std::move(aRespond));
   Actions actions;
   SubmitQuery(mEngine, std::move(aRequest), SteadyNow(), mRng, actions);
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
@@ -103,7 +103,7 @@
   Register(aRequest, std::move(aRespond));
   Actions actions;
   SubmitUnrepeatable(mEngine, { std::move(aRequest), std::move(aKey) }, SteadyNow(), mRng, actions);
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
@@ -111,11 +111,11 @@
 {
   Actions actions;
   OnTimer(mEngine, SteadyNow(), mRng, actions);
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
-QueryPath::CarryOut(Actions aActions)
+QueryPath::CarryOut(const Actions& aActions)
 {
   for (const Action& action : aActions) {
     if (const auto* const send = std::get_if<SendSub>(&action)) {
@@ -191,7 +191,7 @@
   const auto answer = [this](ClaimReply aReply) {
     Actions actions;
     OnClaim(mEngine, std::move(aReply), SteadyNow(), mRng, actions);
-    CarryOut(std::move(actions));
+    CarryOut(actions);
   };
   if (mHooks.mClaim) {
     mHooks.mClaim(aClaim, answer);
@@ -219,7 +219,7 @@
     }
     OnFailure(mEngine, failure, now, mRng, actions);
   }
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
@@ -237,7 +237,7 @@
             SteadyNow(),
             mRng,
             actions);
-  CarryOut(std::move(actions));
+  CarryOut(actions);
 }
 
 void
