Ask for identities on own threads and bound every barrier read

A barrier read that knew its index had no deadline.

Change: Identify is a plain call on a thread that the node joins; reads that wait to be applied have a deadline.

Conclusion: the callback interface of this gRPC version is not used here.

--- a/src/memory_files.cpp
+++ b/src/memory_files.cpp
@@ -199,8 +199,7 @@
     }
     const std::string& data = mHandles.at(aFd).mFile->mData;
     const std::size_t size = aOffset >= data.size() ? 0 : std::min(aSize, data.size() - aOffset);
-    std::memcpy(aData, data.data() + aOffset, size);
-    return static_cast<ssize_t>(size);
+    return static_cast<ssize_t>(aOffset < data.size() ? data.copy(aData, size, aOffset) : 0);
   };
   ops.mSync = [this, alive](int aFd) { return alive() ? Sync(aFd) : -EIO; };
   ops.mTruncate = [this, alive](int aFd, std::uint64_t aSize) {
--- a/src/raft_member.cpp
+++ b/src/raft_member.cpp
@@ -262,7 +262,7 @@
 RaftMember::ReportReads()
 {
   while (!mReads.empty() && mReads.begin()->first <= mApplied) {
-    const DoneHandler done = std::move(mReads.begin()->second);
+    const DoneHandler done = std::move(mReads.begin()->second.mDone);
     mReads.erase(mReads.begin());
     done({});
   }
@@ -307,6 +307,15 @@
     lateReads.push_back(std::move(mAsked.begin()->second.mDone));
     mAsked.erase(mAsked.begin());
   }
+  // A member that is cut off after it learned the index may not apply it for hours.
+  for (auto it = mReads.begin(); it != mReads.end();) {
+    if (it->second.mDeadline <= aNow) {
+      lateReads.push_back(std::move(it->second.mDone));
+      it = mReads.erase(it);
+    } else {
+      ++it;
+    }
+  }
   for (const OutcomeHandler& done : late) {
     done(Fail(Result::ProposalUnknown, "no majority confirmed the change in time"));
   }
@@ -351,12 +360,12 @@
       if (asked == mAsked.end()) {
         continue;
       }
-      const DoneHandler done = std::move(asked->second.mDone);
+      WaitingRead waiting = std::move(asked->second);
       mAsked.erase(asked);
       if (read.mIndex) {
-        mReads.emplace(*read.mIndex, done);
+        mReads.emplace(*read.mIndex, std::move(waiting));
       } else {
-        done(tl::unexpected(read.mIndex.error()));
+        waiting.mDone(tl::unexpected(read.mIndex.error()));
       }
     }
     if (auto written = RunWrites(aNow); !written) {
@@ -415,8 +424,8 @@
   for (const auto& [number, read] : asked) {
     read.mDone(Fail(Result::ReadUnavailable, "this member stops"));
   }
-  for (const auto& [index, done] : reads) {
-    done(Fail(Result::ReadUnavailable, "this member stops"));
+  for (const auto& [index, read] : reads) {
+    read.mDone(Fail(Result::ReadUnavailable, "this member stops"));
   }
 }
 
--- a/src/raft_member.h
+++ b/src/raft_member.h
@@ -107,7 +107,8 @@
   std::uint64_t mAppliedBytes = 0;
   std::multimap<std::uint64_t, Waiting> mProposals;
   std::map<std::uint64_t, WaitingRead> mAsked;
-  std::multimap<std::uint64_t, DoneHandler> mReads;
+  // Reads by the index that must be applied.
+  std::multimap<std::uint64_t, WaitingRead> mReads;
   RaftRole mLoggedRole = RaftRole::Removed;
   std::uint64_t mLoggedTerm = 0;
   std::string mLoggedLeader;
--- a/src/raft_node.cpp
+++ b/src/raft_node.cpp
@@ -320,44 +320,45 @@
   std::atomic<bool> mFormed{ false };
 };
 
-struct IdentifyCall
-{
-  std::unique_ptr<rpc::Raft::Stub> mStub;
-  grpc::ClientContext mContext;
-  rpc::IdentifyRequest mRequest;
-  rpc::IdentifyReply mReply;
-};
-
-// The calls that run. Their callbacks use the loop, so the node waits for them before it ends.
-class IdentifyCalls
+// One question for an identity, on its own thread. The callback interface of gRPC 1.51 ends the
+// process when the last channel that used it goes away inside a callback.
+class IdentifyCall
 {
 public:
-  // Thread-safe, as is Remove.
-  void Add(IdentifyCall* aCall)
+  using Handler = std::function<void(Expected<rpc::IdentifyReply>)>;
+
+  // Calls aDone on the new thread.
+  IdentifyCall(std::shared_ptr<grpc::Channel> aChannel, Handler aDone)
+    : mStub(rpc::Raft::NewStub(std::move(aChannel)))
+    , mThread([this, done = std::move(aDone)] { Main(done); })
   {
-    absl::MutexLock lock(&mMutex);
-    mRunning.insert(aCall);
   }
 
-  void Remove(IdentifyCall* aCall)
+  ~IdentifyCall()
   {
-    absl::MutexLock lock(&mMutex);
-    mRunning.erase(aCall);
+    mContext.TryCancel();
+    mThread.join();
   }
 
-  void CancelAndWait()
+  IdentifyCall(const IdentifyCall&) = delete;
+  IdentifyCall& operator=(const IdentifyCall&) = delete;
+
+private:
+  void Main(const Handler& aDone)
   {
-    absl::MutexLock lock(&mMutex);
-    for (IdentifyCall* call : mRunning) {
-      call->mContext.TryCancel();
+    rpc::IdentifyReply reply;
+    mContext.set_deadline(std::chrono::system_clock::now() + kIdentifyTimeout);
+    const grpc::Status status = mStub->Identify(&mContext, {}, &reply);
+    if (status.ok()) {
+      aDone(std::move(reply));
+    } else {
+      aDone(Fail(Result::ReadUnavailable, status.error_message()));
     }
-    const auto none = [this] { return mRunning.empty(); };
-    mMutex.Await(absl::Condition(&none));
   }
 
-private:
-  absl::Mutex mMutex;
-  std::set<IdentifyCall*> mRunning;
+  const std::unique_ptr<rpc::Raft::Stub> mStub;
+  grpc::ClientContext mContext;
+  std::thread mThread;
 };
 
 } // namespace
@@ -370,13 +371,11 @@
   {
   }
 
-  using IdentifyHandler = std::function<void(Expected<rpc::IdentifyReply>)>;
-
   void SchedulePump();
   void Pump();
   void Tick();
   void TryToForm();
-  void Identify(const SocketAddress& aAddress, IdentifyHandler aDone);
+  void Identify(const SocketAddress& aAddress, IdentifyCall::Handler aDone);
   void SendTo(RaftMessage aMessage);
   void OnMessage(const RaftMessage& aMessage, const SocketAddress& aFrom);
   void Fatal(const Error& aError);
@@ -397,7 +396,9 @@
   // Addresses of senders that the member list does not hold, such as the leader of a new learner.
   std::map<std::string, SocketAddress> mSenders;
   std::map<std::string, std::string> mIdentities;
-  IdentifyCalls mCalls;
+  std::map<std::uint64_t, std::unique_ptr<IdentifyCall>> mCalls;
+  std::uint64_t mNextCall = 1;
+  std::atomic<bool> mEnding{ false };
   TimePoint mNextForm{};
   std::optional<Error> mFailure;
   bool mPumpPosted = false;
@@ -461,28 +462,25 @@
 }
 
 void
-RaftNode::State::Identify(const SocketAddress& aAddress, IdentifyHandler aDone)
-{
-  auto call = std::make_shared<IdentifyCall>();
-  call->mStub = rpc::Raft::NewStub(OpenChannel(aAddress, mClientCredentials));
-  call->mContext.set_deadline(std::chrono::system_clock::now() + kIdentifyTimeout);
-  mCalls.Add(call.get());
-  call->mStub->async()->Identify(
-    &call->mContext,
-    &call->mRequest,
-    &call->mReply,
-    [call, weak = weak_from_this(), this, done = std::move(aDone)](const grpc::Status& aStatus) {
-      Expected<rpc::IdentifyReply> reply = call->mReply;
-      if (!aStatus.ok()) {
-        reply = Fail(Result::ReadUnavailable, aStatus.error_message());
-      }
-      mLoop.Post([weak, done, reply = std::move(reply)] {
-        if (weak.lock()) {
-          done(reply);
-        }
-      });
-      mCalls.Remove(call.get());
-    });
+RaftNode::State::Identify(const SocketAddress& aAddress, IdentifyCall::Handler aDone)
+{
+  const std::uint64_t number = mNextCall++;
+  mCalls[number] =
+    std::make_unique<IdentifyCall>(OpenChannel(aAddress, mClientCredentials),
+                                   [this, number, weak = weak_from_this(), done = std::move(aDone)](
+                                     const Expected<rpc::IdentifyReply>& aReply) {
+                                     const auto task = [weak, number, done, aReply] {
+                                       if (const auto state = weak.lock()) {
+                                         state->mCalls.erase(number);
+                                         done(aReply);
+                                       }
+                                     };
+                                     // The node joins this thread before it ends, so the loop is
+                                     // alive here.
+                                     while (!mLoop.Post(task) && !mEnding.load()) {
+                                       std::this_thread::sleep_for(kTick);
+                                     }
+                                   });
 }
 
 void
@@ -600,7 +598,8 @@
 
 RaftNode::~RaftNode()
 {
-  mState->mCalls.CancelAndWait();
+  mState->mEnding.store(true);
+  mState->mCalls.clear();
   mState->mServer->Shutdown(std::chrono::system_clock::now());
   mState->mMember->FailAll();
   mState->mLinks.clear();
