--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -198,6 +198,13 @@
     const std::string leader = net.ElectedLeader();
     net.Cut(leader);
     const TimePoint cut = net.mNow;
+    // The others promised for 1 s from the send time on; both clocks may be wrong by 1%.
+    TimePoint answered{};
+    for (const auto& [id, progress] : net[leader].mProgress) {
+      answered = std::max(answered, progress.mEchoed);
+    }
+    CPPUNIT_ASSERT(RaftLeading(net[leader], answered + milliseconds(980)));
+    CPPUNIT_ASSERT(!RaftLeading(net[leader], answered + milliseconds(981)));
     while (RaftLeading(net[leader], net.mNow)) {
       net.Run(milliseconds(10));
     }
