Replicate the control state over three control hosts; send a request at most once per transfer

Cause: the control host kept its state in a local log, and libcurl sent a request a second time by itself when a reused connection closed before the first reply byte (known red: SendsOnceOnReusedConnection).

The HTTP client refuses to write a request twice and reports a transfer that was handed to a connection as lost, never as not run.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -3,13 +3,14 @@
 # several deployments side by side. entry_extra holds further settings of the entry hosts.
 
 net=${net:-0}
-controls=${controls:-1}
+controls=${controls:-3}
 entries=${entries:-3}
 services=${services:-10}
 replicas=${replicas:-3}
 centres=(bolu duzce sakarya)
 control_admin=()
 control_rpc=()
+control_members=()
 entry_http=()
 deployment_pids=()
 
@@ -35,6 +36,7 @@
   for n in $(seq "$controls"); do
     control_admin+=("127.$net.1.$n:7100")
     control_rpc+=("127.$net.1.$n:7101")
+    control_members+=("control-$n 127.$net.1.$n:7102")
   done
   for n in $(seq "$entries"); do entry_http+=("127.$net.2.$n:7200"); done
   for n in $(seq "$controls"); do
@@ -43,6 +45,10 @@
 data_folder = "$folder/control-$n"
 admin_address = "${control_admin[n - 1]}"
 rpc_address = "${control_rpc[n - 1]}"
+peer_address = "127.$net.1.$n:7102"
+initial_members = $(toml_list "${control_members[@]}")
+[tls]
+plaintext = true
 TOML
     start_process "control-$n" apricot-control
   done
@@ -101,3 +107,18 @@
     return 1
   fi
 }
+
+# Submits a configuration once a control host leads, 20 s at most. Further arguments go to apricotctl.
+submit_config() {
+  local i options=()
+  for address in "${control_admin[@]}"; do options+=(--control "$address"); done
+  for i in $(seq 40); do
+    if build/apricotctl "${options[@]}" config submit "$@" >"$folder/submit.out" 2>&1; then
+      cat "$folder/submit.out"
+      return 0
+    fi
+    sleep 0.5
+  done
+  cat "$folder/submit.out" >&2
+  return 1
+}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -15,7 +15,7 @@
 start_deployment run/quickstart
 trap 'stop_deployment' EXIT
 echo "submitting examples/quickstart.toml"
-build/apricotctl --control "${control_admin[0]}" config submit examples/quickstart.toml
+submit_config examples/quickstart.toml
 wait_for_coverage "${entry_http[0]}" inspection-desk
 echo "answer:"
 curl -sS --fail-with-body -H 'content-type: application/json' -H 'x-request-id: quickstart-1' \
--- a/src/admin.cpp
+++ b/src/admin.cpp
@@ -386,7 +386,7 @@
   Json members = Json::array();
   const LogStatus status = aCore.Status();
   for (const LogMember& member : status.mMembers) {
-    const auto known = aCore.State().mControlHosts.find(member.mId);
+    const auto known = aCore.State().mControlHosts.find(std::string(MemberName(member.mId)));
     members.push_back(
       { { "id", member.mId },
         { "address", FormatSocketAddress(member.mAddress) },
--- a/src/control_core.cpp
+++ b/src/control_core.cpp
@@ -165,7 +165,7 @@
 ControlCore::Leader() const
 {
   const LogStatus status = mLog->Status();
-  const auto known = mState.mControlHosts.find(status.mLeader);
+  const auto known = mState.mControlHosts.find(std::string(MemberName(status.mLeader)));
   return known == mState.mControlHosts.end() ? rpc::ControlHost() : known->second;
 }
 
--- a/src/control_server.cpp
+++ b/src/control_server.cpp
@@ -4,13 +4,14 @@
 #include "cmdline.h"
 #include "control.grpc.pb.h"
 #include "control_core.h"
-#include "local_log.h"
 #include "log.h"
+#include "raft_node.h"
 
 #include <set>
 #include <thread>
 #include <utility>
 
+#include <fmt/format.h>
 #include <grpcpp/grpcpp.h>
 
 namespace apricotyard {
@@ -21,12 +22,23 @@
 constexpr int kMaxRpcMessage = 64 * 1024;
 constexpr std::chrono::milliseconds kShutdownGrace{ 500 };
 
-// The one place that chooses the log.
 Expected<std::unique_ptr<ReplicatedLog>>
 OpenLog(Loop& aLoop, const ControlSettings& aSettings, StateMachine aMachine)
 {
-  const LogMember self{ aSettings.mHost, aSettings.mRpcAddress, MemberRole::Voter };
-  return OpenLocalLog(aLoop, aSettings.mDataFolder, self, std::move(aMachine));
+  auto node = RaftNode::Builder(aLoop)
+                .Name(aSettings.mHost)
+                .Folder(aSettings.mDataFolder)
+                .Address(aSettings.mPeerAddress)
+                .InitialMembers(aSettings.mInitialMembers)
+                .Machine(std::move(aMachine))
+                .ChartFile(aSettings.mCharts + "/control_member.toml")
+                .Credentials(MakeServerCredentials(aSettings.mSecurity),
+                             MakeChannelCredentials(aSettings.mSecurity))
+                .Start();
+  if (!node) {
+    return tl::unexpected(node.error());
+  }
+  return *std::move(node);
 }
 
 // A call that the loop has not finished yet. Only on the loop's thread after it was posted.
@@ -135,6 +147,31 @@
 
 } // namespace
 
+// Reads lines of the form "NAME IP:PORT".
+void
+ReadInitialMembers(SettingsReader& aReader, ControlSettings& aSettings)
+{
+  std::vector<std::string> lines;
+  aReader.TextList("initial_members", Presence::Required, lines);
+  bool listsSelf = lines.empty();
+  for (const std::string& line : lines) {
+    const std::size_t space = line.find(' ');
+    const auto address =
+      ParseSocketAddress(space == std::string::npos ? "" : line.substr(space + 1));
+    if (!address) {
+      aReader.Problem("initial_members", fmt::format("'{}' is not of the form NAME IP:PORT", line));
+      continue;
+    }
+    const std::string name = line.substr(0, space);
+    listsSelf = listsSelf || (name == aSettings.mHost && *address == aSettings.mPeerAddress);
+    aSettings.mInitialMembers.push_back({ name, *address, MemberRole::Voter });
+  }
+  if (!listsSelf) {
+    aReader.Problem("initial_members",
+                    "must list this host with its peer_address, or nobody for a host that joins");
+  }
+}
+
 void
 ReadControlSettings(SettingsReader& aReader, ControlSettings& aSettings)
 {
@@ -142,12 +179,17 @@
   aReader.Text("data_folder", Presence::Required, 1, 4096, aSettings.mDataFolder);
   aReader.Address("admin_address", Presence::Required, aSettings.mAdminAddress);
   aReader.Address("rpc_address", Presence::Required, aSettings.mRpcAddress);
+  aReader.Address("peer_address", Presence::Required, aSettings.mPeerAddress);
+  ReadInitialMembers(aReader, aSettings);
+  aReader.Text("charts", Presence::Optional, 1, 4096, aSettings.mCharts);
+  ReadRpcSecurity(aReader, aSettings.mSecurity);
   ReadLogSettings(aReader, aSettings.mLogLevel);
 }
 
 int
 RunControl(const ControlSettings& aSettings)
 {
+  BlockStopSignals();
   Loop loop;
   rpc::ControlHost self;
   self.set_id(aSettings.mHost);
@@ -188,7 +230,7 @@
   int port = 0;
   builder.SetMaxReceiveMessageSize(kMaxRpcMessage);
   builder.AddListeningPort(
-    FormatSocketAddress(aSettings.mRpcAddress), grpc::InsecureServerCredentials(), &port);
+    FormatSocketAddress(aSettings.mRpcAddress), MakeServerCredentials(aSettings.mSecurity), &port);
   builder.RegisterService(&service);
   if (failure.empty()) {
     rpcServer = builder.BuildAndStart();
--- a/src/control_server.h
+++ b/src/control_server.h
@@ -3,6 +3,8 @@
 #define APRICOTYARD_CONTROL_SERVER_H
 
 #include "events.h"
+#include "replicated_log.h"
+#include "rpc_credentials.h"
 #include "settings.h"
 
 namespace apricotyard {
@@ -15,6 +17,13 @@
   SocketAddress mAdminAddress;
   // Control service for entry hosts.
   SocketAddress mRpcAddress;
+  // Consensus between control hosts.
+  SocketAddress mPeerAddress;
+  // The first voters, this host included; empty for a host that joins later.
+  std::vector<LogMember> mInitialMembers;
+  // Folder of the state charts.
+  std::string mCharts = "charts";
+  RpcSecurity mSecurity;
   LogLevel mLogLevel = LogLevel::Info;
 };
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -30,6 +30,8 @@
   bool mExpectedSeen = false;
   bool mTooLarge = false;
   bool mCrossed = false;
+  // The request was handed to a connection; from then on the server may have seen it.
+  bool mStarted = false;
   std::array<char, CURL_ERROR_SIZE> mError{};
 };
 
@@ -168,6 +170,23 @@
   return 0;
 }
 
+// Runs before the request is written to a connection. libcurl writes a request again by itself when
+// a reused connection closes before the first byte of the reply; that would run it twice.
+int
+OnRequest(void* aClosure,
+          char* /*aServerIp*/,
+          char* /*aLocalIp*/,
+          int /*aServerPort*/,
+          int /*aLocalPort*/)
+{
+  auto* const transfer = static_cast<Transfer*>(aClosure);
+  if (transfer->mStarted) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer->mStarted = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 TransferEnd
 Classify(const Transfer& aTransfer, CURLcode aCode)
 {
@@ -181,17 +200,11 @@
     const bool expected = !aTransfer.mRequest.mExpectedHeader.mName.empty();
     return expected && !aTransfer.mExpectedSeen ? TransferEnd::Crossed : TransferEnd::Complete;
   }
-  long requestBytes = 0;
-  curl_easy_getinfo(aTransfer.mEasy, CURLINFO_REQUEST_SIZE, &requestBytes);
-  curl_off_t connectTime = 0;
-  curl_easy_getinfo(aTransfer.mEasy, CURLINFO_PRETRANSFER_TIME_T, &connectTime);
-  if (aCode == CURLE_COULDNT_CONNECT || aCode == CURLE_INTERFACE_FAILED || connectTime == 0) {
-    return TransferEnd::NotConnected;
-  }
-  if (aCode == CURLE_OPERATION_TIMEDOUT) {
-    return requestBytes == 0 ? TransferEnd::NotSent : TransferEnd::TimedOut;
+  // A second connection, refused or not, does not undo what the first one may have carried.
+  if (aTransfer.mStarted) {
+    return aCode == CURLE_OPERATION_TIMEDOUT ? TransferEnd::TimedOut : TransferEnd::Lost;
   }
-  return requestBytes == 0 ? TransferEnd::NotSent : TransferEnd::Lost;
+  return aCode == CURLE_SEND_ERROR ? TransferEnd::NotSent : TransferEnd::NotConnected;
 }
 
 void
@@ -213,6 +226,8 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, millis);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::max<long>(1, millis / kConnectTimeShare));
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.mFreshConnection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aTransfer.mError.data());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
--- a/src/raft_node.cpp
+++ b/src/raft_node.cpp
@@ -29,21 +29,6 @@
 constexpr int kKeepaliveTimeoutMillis = 1000;
 constexpr int kMaxMessageBytes = 64 * 1024 * 1024;
 constexpr int kServerThreads = 32;
-constexpr std::size_t kNonceChars = 8;
-
-bool
-HasNonce(std::string_view aId)
-{
-  return aId.size() > kNonceChars + 1 && aId[aId.size() - kNonceChars - 1] == '.' &&
-         aId.find_first_not_of("0123456789abcdef", aId.size() - kNonceChars) ==
-           std::string_view::npos;
-}
-
-std::string_view
-NameOf(std::string_view aId)
-{
-  return HasNonce(aId) ? aId.substr(0, aId.size() - kNonceChars - 1) : aId;
-}
 
 std::size_t
 SizeOf(const RaftMessage& aMessage)
@@ -517,7 +502,7 @@
       continue;
     }
     Identify(member.mAddress, [this, member](const Expected<rpc::IdentifyReply>& aReply) {
-      const bool fits = aReply && !aReply->formed() && NameOf(aReply->identity()) == member.mId;
+      const bool fits = aReply && !aReply->formed() && MemberName(aReply->identity()) == member.mId;
       if (fits) {
         mIdentities[member.mId] = aReply->identity();
         return;
@@ -579,7 +564,7 @@
     if (member.mId == aMember) {
       return aMember;
     }
-    if (NameOf(member.mId) == aMember) {
+    if (MemberName(member.mId) == aMember) {
       found.push_back(member.mId);
     }
   }
@@ -636,7 +621,7 @@
     aDone(Fail(Result::NotLeader, "this member failed: " + mState->mFailure->mMessage));
     return;
   }
-  if (HasNonce(aMember.mId)) {
+  if (MemberName(aMember.mId) != aMember.mId) {
     mState->mMember->AddLearner(aMember, std::move(aDone), SteadyNow());
     mState->SchedulePump();
     return;
@@ -645,7 +630,7 @@
   mState->Identify(
     aMember.mAddress,
     [state = mState.get(), aMember, done](const Expected<rpc::IdentifyReply>& aReply) {
-      if (!aReply || NameOf(aReply->identity()) != aMember.mId) {
+      if (!aReply || MemberName(aReply->identity()) != aMember.mId) {
         (*done)(Fail(Result::UnknownMember,
                      aReply ? "the address belongs to " + aReply->identity()
                             : "the address does not answer: " + aReply.error().mMessage));
--- a/src/replicated_log.h
+++ b/src/replicated_log.h
@@ -39,6 +39,10 @@
   std::uint64_t mMatched = 0;
 };
 
+// The name in a member's identity, which is NAME or NAME.NONCE. Pure.
+std::string_view
+MemberName(std::string_view aId);
+
 struct LogStatus
 {
   std::string mSelf;
--- a/tests/test_contract_caller.cpp
+++ b/tests/test_contract_caller.cpp
@@ -134,10 +134,11 @@
     : mFolder(std::filesystem::temp_directory_path() / fmt::format("apricot-entry-{}", getpid()))
   {
     std::filesystem::create_directories(mFolder);
-    std::ofstream(mFolder / "entry.toml") << fmt::format(
-      "host = 'e'\ndata_centre = 'dc'\naddress = '{0}:{1}'\ncontrol = ['{0}:7921']\n",
-      TestIp(3),
-      kPort);
+    std::ofstream(mFolder / "entry.toml")
+      << fmt::format("host = 'e'\ndata_centre = 'dc'\naddress = '{0}:{1}'\npeer_address = "
+                     "'{0}:7922'\ncontrol = ['{0}:7921']\n",
+                     TestIp(3),
+                     kPort);
     const std::string program =
       std::filesystem::read_symlink("/proc/self/exe").parent_path() / "apricot-entry";
     const std::string settings = mFolder / "entry.toml";
