Answer cancelled sub-requests in the bench as the adapter and the stand-in do

Change: the fake replica answers the search itself when it is cancelled; silence, fresh connections and shared strikes are modelled too.

--- a/fuzz/fuzz_inputs.cpp
+++ b/fuzz/fuzz_inputs.cpp
@@ -1,14 +1,14 @@
 // Coverage-guided fuzzing of everything that parses input from outside. The first byte selects the
 // parser; the rest is its input.
-#include <cstdint>
-#include <cstdlib>
-#include <string_view>
-
 #include "chart.h"
 #include "codec.h"
 #include "config.h"
 #include "settings.h"
 
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
 using namespace apricotyard;
 
 namespace {
--- a/src/bench_world.cpp
+++ b/src/bench_world.cpp
@@ -11,6 +11,9 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
+// The transfer outlives the attempt by this time, as in the adapter.
+constexpr Duration kCancelGrace = milliseconds(200);
+constexpr Duration kGossipDelay = milliseconds(5);
 constexpr std::size_t kNone = SIZE_MAX;
 // Network: one-way delay within and between data centres, its variation and the loss of packets.
 constexpr Duration kLocalDelay = microseconds(150);
@@ -249,11 +252,27 @@
       Cancel(aHost, cancel->mAttempt);
     } else if (const auto* const respond = std::get_if<Respond>(&action)) {
       CheckAnswer(respond->mAnswer);
+    } else if (const auto* const share = std::get_if<ShareStrike>(&action)) {
+      Share(aHost, share->mStrike);
     }
   }
   ArmTimer(aHost);
 }
 
+// Gossip between the entry hosts; the delay stands for one message between data centres.
+void
+World::Share(std::size_t aHost, const Strike& aStrike)
+{
+  for (std::size_t host = 0; host < mHosts.size(); ++host) {
+    if (host != aHost) {
+      Post(mNow + kGossipDelay, [this, host, aStrike] {
+        OnSharedStrike(mHosts[host].mEngine, aStrike, mNow);
+        ArmTimer(host);
+      });
+    }
+  }
+}
+
 void
 World::ArmTimer(std::size_t aHost)
 {
@@ -339,16 +358,31 @@
                     aSend.mShard.mShard,
                     aSend.mVersion,
                     aSend.mUpstream));
-  Post(mNow + aSend.mTimeout, [this, sub] { Expire(sub); });
+  const bool current = mOptions.mPolicy == BenchPolicy::Current;
+  Post(mNow + aSend.mTimeout + (current ? kCancelGrace : Duration::zero()),
+       [this, sub] { Expire(sub); });
+  if (aSend.mSilence > Duration::zero()) {
+    Post(mNow + aSend.mSilence, [this, sub] { CheckSilence(sub); });
+  }
   UseConnection(sub);
 }
 
+// No byte arrived in time on a connection that worked before.
+void
+World::CheckSilence(std::size_t aSub)
+{
+  const Sub& sub = mSubs[aSub];
+  if (!sub.mClosed && sub.mConnection != kNone && mConnections[sub.mConnection].mUsed) {
+    ReportFailure(aSub, FailureKind::Silent);
+  }
+}
+
 void
 World::UseConnection(std::size_t aSub)
 {
   Sub& sub = mSubs[aSub];
   Pool& pool = PoolOf(sub.mHost, sub.mReplica);
-  if (!pool.mIdle.empty()) {
+  if (!pool.mIdle.empty() && !sub.mSend.mFreshConnection) {
     sub.mConnection = pool.mIdle.back();
     pool.mIdle.pop_back();
     mConnections[sub.mConnection].mSub = aSub;
@@ -430,6 +464,14 @@
   }
   const std::size_t sub = live->second;
   Trace(fmt::format("cancel attempt={}", aAttempt));
+  if (mOptions.mPolicy == BenchPolicy::Current) {
+    // The adapter cancels by a request of its own and keeps the connection; the replica answers the
+    // search itself when it has stopped.
+    if (!mReplicas[mSubs[sub].mReplica].mFaults.mIsolated) {
+      Post(mNow + OneWay(aHost, mSubs[sub].mReplica), [this, sub] { AnswerCancelled(sub); });
+    }
+    return;
+  }
   mLive.erase(live);
   mSubs[sub].mClosed = true;
   CloseConnection(mSubs[sub].mConnection);
@@ -438,6 +480,24 @@
   }
 }
 
+void
+World::AnswerCancelled(std::size_t aSub)
+{
+  Sub& sub = mSubs[aSub];
+  const FakeReplica& replica = mReplicas[sub.mReplica];
+  if (sub.mClosed || replica.mFaults.mIsolated || replica.mFaults.mDropReplies) {
+    return;
+  }
+  const Duration back = OneWay(sub.mHost, sub.mReplica);
+  if (sub.mQueued) {
+    AbortRun(aSub);
+    FailLater(aSub, FailureKind::Shed, back);
+  } else if (sub.mRunning) {
+    AbortRun(aSub);
+    FailLater(aSub, FailureKind::ErrorStatus, back);
+  }
+}
+
 void
 World::Expire(std::size_t aSub)
 {
@@ -465,7 +525,7 @@
   mLive.erase({ sub.mHost, sub.mSend.mAttempt });
   Trace(fmt::format("fail attempt={} {}", sub.mSend.mAttempt, FailureName(aKind)));
   const bool answered = aKind == FailureKind::Shed || aKind == FailureKind::VersionGone ||
-                        aKind == FailureKind::Draining;
+                        aKind == FailureKind::Draining || aKind == FailureKind::ErrorStatus;
   const std::size_t connection = sub.mConnection;
   Host& host = mHosts[sub.mHost];
   Actions actions;
--- a/src/bench_world.h
+++ b/src/bench_world.h
@@ -228,6 +228,9 @@
   void ReleaseConnection(std::size_t aConnection);
   void StartWaiting(std::size_t aHost, std::size_t aReplica);
   void Cancel(std::size_t aHost, AttemptId aAttempt);
+  void AnswerCancelled(std::size_t aSub);
+  void CheckSilence(std::size_t aSub);
+  void Share(std::size_t aHost, const Strike& aStrike);
   void Expire(std::size_t aSub);
 
   void Deliver(std::size_t aSub);
