--- a/src/bench_scenarios.cpp
+++ b/src/bench_scenarios.cpp
@@ -196,8 +196,8 @@
       ++share;
     }
     const std::size_t host = rng() % 2;
-    // Distinct texts: a quarantine follows the text, and one text for all would stop every query when
-    // several replicas die at once.
+    // Distinct texts: a quarantine follows the text, and one text for all would stop every query
+    // when several replicas die at once.
     const QueryPlan plan{ aCollection, share->mClass, fmt::format("query {}", sent++), 0 };
     aWorld.Schedule(at, [&aWorld, plan, host] { aWorld.Submit(plan, host); });
   }
