--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -20,6 +20,12 @@
   echo "[${out%, }]"
 }
 
+# tls_table NAME: the table [tls] of the settings of a host.
+tls_table() {
+  printf '[tls]\ncertificate = "%s"\nkey = "%s"\nauthorities = "%s"' \
+    "$folder/tls/$1.pem" "$folder/tls/$1.key" "$folder/tls/authorities.pem"
+}
+
 # start_process NAME PROGRAM: starts build/PROGRAM with the settings $folder/NAME.toml.
 start_process() {
   build/"$2" --settings "$folder/$1.toml" >"$folder/$1.out" 2>"$folder/$1.log" &
@@ -39,6 +45,10 @@
     control_members+=("control-$n 127.$net.1.$n:7102")
   done
   for n in $(seq "$entries"); do entry_http+=("127.$net.2.$n:7200"); done
+  local hosts=()
+  for n in $(seq "$controls"); do hosts+=("control-$n=127.$net.1.$n"); done
+  for n in $(seq "$entries"); do hosts+=("entry-$n=127.$net.2.$n"); done
+  scripts/make-certificates.sh "$folder/tls" "${hosts[@]}"
   for n in $(seq "$controls"); do
     cat >"$folder/control-$n.toml" <<TOML
 host = "control-$n"
@@ -47,8 +57,7 @@
 rpc_address = "${control_rpc[n - 1]}"
 peer_address = "127.$net.1.$n:7102"
 initial_members = $(toml_list "${control_members[@]}")
-[tls]
-plaintext = true
+$(tls_table "control-$n")
 TOML
     start_process "control-$n" apricot-control
   done
@@ -60,6 +69,7 @@
 peer_address = "127.$net.2.$n:7201"
 control = $(toml_list "${control_rpc[@]}")
 ${entry_extra:-}
+$(tls_table "entry-$n")
 TOML
     start_process "entry-$n" apricot-entry
   done
--- a/src/bench.cpp
+++ b/src/bench.cpp
@@ -1,6 +1,7 @@
 // apricot-bench: the production decisions in virtual time, with one signature of all results.
 #include "bench_scenarios.h"
 #include "cmdline.h"
+#include "control_measure.h"
 
 #include <algorithm>
 #include <atomic>
@@ -23,6 +24,7 @@
   int mCheckBars = 0;
   int mSchedules = 0;
   int mTrace = 0;
+  int mControl = 0;
   int mJobs = 3;
   long long mSeed = 1;
   char* mScenario = nullptr;
@@ -62,6 +64,13 @@
       0,
       "run randomized schedules: --schedules FIRST COUNT",
       nullptr },
+    { "control",
+      0,
+      POPT_ARG_NONE,
+      &aOptions.mControl,
+      0,
+      "measure the control work of one node at several sizes",
+      nullptr },
     { "trace",
       0,
       POPT_ARG_NONE,
@@ -282,6 +291,10 @@
   if (!ParseOptions(argc, argv, options, exitCode)) {
     return exitCode;
   }
+  if (options.mControl != 0) {
+    fmt::print("{}", MeasureControl());
+    return kExitOk;
+  }
   exitCode = options.mTrace != 0       ? TraceSchedule(options)
              : options.mSchedules != 0 ? RunSchedules(options)
                                        : RunScenarios(options);
--- a/src/control_client.cpp
+++ b/src/control_client.cpp
@@ -27,7 +27,8 @@
 // A channel with a connection of its own: a new channel to the same address opens a new connection,
 // which works after a middlebox stopped delivering the data of the old one.
 std::shared_ptr<grpc::Channel>
-OpenChannel(const std::string& aAddress)
+OpenChannel(const std::string& aAddress,
+            const std::shared_ptr<grpc::ChannelCredentials>& aCredentials)
 {
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
@@ -35,7 +36,7 @@
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinReconnectMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
   arguments.SetMaxReceiveMessageSize(kMaxMessage);
-  return grpc::CreateCustomChannel(aAddress, grpc::InsecureChannelCredentials(), arguments);
+  return grpc::CreateCustomChannel(aAddress, aCredentials, arguments);
 }
 
 // Calls under way, so that the end of the client can cancel them and wait for them.
@@ -108,6 +109,7 @@
 
   Loop& mLoop;
   HostIdentity mIdentity;
+  std::shared_ptr<grpc::ChannelCredentials> mCredentials;
   ConfigHandler mOnConfig;
   std::function<void()> mOnView;
   HostAuthority mAuthority;
@@ -130,7 +132,8 @@
 void
 ControlClient::State::Reopen(std::size_t aIndex)
 {
-  mStubs[aIndex] = rpc::Control::NewStub(OpenChannel(FormatSocketAddress(mControl[aIndex])));
+  mStubs[aIndex] =
+    rpc::Control::NewStub(OpenChannel(FormatSocketAddress(mControl[aIndex]), mCredentials));
 }
 
 void
@@ -305,7 +308,7 @@
     }
     auto& stub = mPeers[host->peer_address()];
     if (stub == nullptr) {
-      stub = rpc::Witness::NewStub(OpenChannel(host->peer_address()));
+      stub = rpc::Witness::NewStub(OpenChannel(host->peer_address(), mCredentials));
     }
     Send<rpc::WitnessQuestion, rpc::WitnessAnswer>(
       request,
@@ -390,6 +393,7 @@
   : mState(std::make_shared<State>(aLoop, std::move(aIdentity), std::move(aOnConfig)))
 {
   HoldCallbackQueue();
+  mState->mCredentials = MakeChannelCredentials(mState->mIdentity.mSecurity);
   mState->mControl = aControl;
   mState->mStubs.resize(aControl.size());
   for (std::size_t i = 0; i < aControl.size(); ++i) {
--- a/src/control_client.h
+++ b/src/control_client.h
@@ -7,6 +7,7 @@
 #include "config.h"
 #include "control.pb.h"
 #include "loop.h"
+#include "rpc_credentials.h"
 
 #include <functional>
 #include <memory>
@@ -23,6 +24,7 @@
   SocketAddress mAddress;
   // Where other entry hosts reach this one; port 0 if it has no peer service.
   SocketAddress mPeerAddress;
+  RpcSecurity mSecurity;
 };
 
 struct ConfigUpdate
--- /dev/null
+++ b/src/control_measure.cpp
@@ -0,0 +1,214 @@
+#include "control_measure.h"
+
+#include "config.h"
+#include "control.pb.h"
+#include "directory.h"
+#include "loop.h"
+
+#include <functional>
+
+#include <fmt/format.h>
+#include <malloc.h>
+
+namespace apricotyard {
+
+namespace {
+
+constexpr std::size_t kReplicaSizes[] = { 600, 1200, 2400, 4900 };
+constexpr std::size_t kHostSizes[] = { 100, 200, 400, 780 };
+constexpr std::size_t kSectionSizes[] = { 25, 50, 100, 200 };
+constexpr int kRepeats = 20;
+
+struct Point
+{
+  double mSize;
+  double mValue;
+};
+
+// The slope of the least-squares line through the points.
+double
+FitSlope(const std::vector<Point>& aPoints)
+{
+  double meanSize = 0;
+  double meanValue = 0;
+  for (const Point& point : aPoints) {
+    meanSize += point.mSize / static_cast<double>(aPoints.size());
+    meanValue += point.mValue / static_cast<double>(aPoints.size());
+  }
+  double covariance = 0;
+  double variance = 0;
+  for (const Point& point : aPoints) {
+    covariance += (point.mSize - meanSize) * (point.mValue - meanValue);
+    variance += (point.mSize - meanSize) * (point.mSize - meanSize);
+  }
+  return covariance / variance;
+}
+
+// Measures one quantity at each size, and appends its lines to aOut.
+void
+MeasureSlope(std::string& aOut,
+             const char* aName,
+             const char* aUnit,
+             const char* aPer,
+             std::span<const std::size_t> aSizes,
+             const std::function<double(std::size_t)>& aMeasure)
+{
+  std::vector<Point> points;
+  for (const std::size_t size : aSizes) {
+    const double value = aMeasure(size);
+    points.push_back({ static_cast<double>(size), value });
+    aOut += fmt::format("measure={} {}={} {}={:.3f}\n", aName, aPer, size, aUnit, value);
+  }
+  aOut += fmt::format("slope={} {}_per_{}={:.4f}\n", aName, aUnit, aPer, FitSlope(points));
+}
+
+UpstreamInfo
+MakeInfo(std::size_t aIndex, std::uint64_t aSequence)
+{
+  UpstreamInfo info;
+  info.mId = fmt::format("replica-{:05}", aIndex);
+  info.mIncarnation = 1;
+  info.mSequence = aSequence;
+  info.mService = fmt::format("service-{:04}", aIndex / 3);
+  info.mMap = 1;
+  info.mAddress = { fmt::format("10.0.{}.{}", aIndex / 250, aIndex % 250 + 1), 7300 };
+  info.mDataCentre = "centre-1";
+  info.mSlots = 4;
+  info.mConnections = 40;
+  info.mVersions = { 1, 2 };
+  info.mState = UpstreamState::Ready;
+  return info;
+}
+
+Directory
+MakeDirectory(std::size_t aReplicas)
+{
+  Directory directory;
+  directory.mHost = "entry-1";
+  directory.mIncarnation = 1;
+  for (std::size_t i = 0; i < aReplicas; ++i) {
+    ApplyAnnouncement(directory, MakeInfo(i, 1), TimePoint{});
+  }
+  return directory;
+}
+
+// Mean processor time of one call in microseconds.
+double
+MeanMicros(int aCalls, const std::function<void()>& aCall)
+{
+  const TimePoint begin = SteadyNow();
+  for (int i = 0; i < aCalls; ++i) {
+    aCall();
+  }
+  return static_cast<double>((SteadyNow() - begin).count()) / aCalls;
+}
+
+double
+DirectoryBytes(std::size_t aReplicas)
+{
+  const std::size_t before = mallinfo2().uordblks;
+  const Directory directory = MakeDirectory(aReplicas);
+  return static_cast<double>(mallinfo2().uordblks - before);
+}
+
+double
+RenewalMicros(std::size_t aReplicas)
+{
+  Directory directory = MakeDirectory(aReplicas);
+  std::uint64_t sequence = 2;
+  const double all = MeanMicros(kRepeats, [&] {
+    for (std::size_t i = 0; i < aReplicas; ++i) {
+      ApplyAnnouncement(directory, MakeInfo(i, sequence), TimePoint{});
+    }
+    ++sequence;
+  });
+  return all;
+}
+
+double
+DigestMicros(std::size_t aReplicas)
+{
+  const Directory directory = MakeDirectory(aReplicas);
+  return MeanMicros(kRepeats, [&] { (void)ComputeDigest(directory); });
+}
+
+double
+RosterBytes(std::size_t aHosts)
+{
+  rpc::SyncReply reply;
+  for (std::size_t i = 0; i < aHosts; ++i) {
+    rpc::Host* const host = reply.mutable_settled()->add_hosts();
+    host->set_host(fmt::format("entry-{:03}", i));
+    host->set_data_centre("centre-1");
+    host->set_caller_address("10.0.100.100:7200");
+    host->set_peer_address("10.0.100.100:7201");
+  }
+  return static_cast<double>(reply.ByteSizeLong());
+}
+
+std::string
+MakeDocument(std::size_t aSections)
+{
+  std::string document = "[class.check]\ndeadline = '290ms'\n";
+  for (std::size_t i = 0; i < aSections; ++i) {
+    document += fmt::format("[collection.c{}]\nservices = ['a{}', 'b{}', 'c{}']\n"
+                            "default_class = 'check'\nreplicas = 3\nslots = 4\n",
+                            i,
+                            i,
+                            i,
+                            i);
+  }
+  return document;
+}
+
+double
+ParseMicros(std::size_t aSections)
+{
+  const std::string document = MakeDocument(aSections);
+  return MeanMicros(kRepeats, [&] { (void)ParseConfig("document", document); });
+}
+
+double
+DocumentBytes(std::size_t aSections)
+{
+  return static_cast<double>(MakeDocument(aSections).size());
+}
+
+// A heartbeat of an entry host and the reply that brings nothing new.
+std::string
+HeartbeatBytes()
+{
+  rpc::SyncRequest request;
+  request.set_host("entry-001");
+  request.set_incarnation(1'796'377'201'305'662);
+  request.set_data_centre("centre-1");
+  request.set_caller_address("10.0.100.100:7200");
+  request.set_peer_address("10.0.100.100:7201");
+  rpc::SyncReply reply;
+  reply.set_revision(400'000);
+  reply.set_leading(true);
+  reply.set_required_revision(400'000);
+  reply.set_lease_ms(2000);
+  reply.set_settled_epoch(100'000);
+  reply.set_claim_epoch(17'000);
+  return fmt::format("measure=heartbeat request_bytes={} reply_bytes={}\n",
+                     request.ByteSizeLong(),
+                     reply.ByteSizeLong());
+}
+
+} // namespace
+
+std::string
+MeasureControl()
+{
+  std::string out = HeartbeatBytes();
+  MeasureSlope(out, "directory", "bytes", "replica", kReplicaSizes, &DirectoryBytes);
+  MeasureSlope(out, "renewals", "us", "replica", kReplicaSizes, &RenewalMicros);
+  MeasureSlope(out, "digest", "us", "replica", kReplicaSizes, &DigestMicros);
+  MeasureSlope(out, "roster", "bytes", "host", kHostSizes, &RosterBytes);
+  MeasureSlope(out, "document", "bytes", "section", kSectionSizes, &DocumentBytes);
+  MeasureSlope(out, "parse", "us", "section", kSectionSizes, &ParseMicros);
+  return out;
+}
+
+} // namespace apricotyard
--- a/src/discovery_node.cpp
+++ b/src/discovery_node.cpp
@@ -744,7 +744,8 @@
       }
       return admitted;
     };
-    impl.mService = std::make_unique<PeerService>(impl.mLoop, std::move(handlers));
+    impl.mService =
+      std::make_unique<PeerService>(impl.mLoop, impl.mIdentity.mSecurity, std::move(handlers));
     if (auto started = impl.mService->Start(impl.mIdentity.mPeerAddress, impl.mHooks.mServices);
         !started) {
       return started;
--- a/src/discovery_node.h
+++ b/src/discovery_node.h
@@ -27,6 +27,7 @@
   SocketAddress mPeerAddress;
   // Folder of peer.toml and entry_host.toml.
   std::string mChartFolder = "charts";
+  RpcSecurity mSecurity;
 };
 
 // The numbers follow charts/entry_host.toml.
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -159,7 +159,8 @@
                mIncarnation,
                aSettings.mDataCentre,
                aSettings.mAddress,
-               aSettings.mPeerAddress },
+               aSettings.mPeerAddress,
+               aSettings.mSecurity },
              aSettings.mControl,
              [this](const ConfigUpdate& aUpdate) { AdoptConfig(aUpdate); })
   , mWitness(mControl.MakeWitnessService())
@@ -169,7 +170,8 @@
                  aSettings.mDataCentre,
                  aSettings.mAddress,
                  aSettings.mPeerAddress,
-                 aSettings.mCharts },
+                 aSettings.mCharts,
+                 aSettings.mSecurity },
                MakeDiscoveryHooks(),
                mMetrics)
 {
--- a/src/entry_settings.cpp
+++ b/src/entry_settings.cpp
@@ -17,6 +17,7 @@
   }
   aReader.Text("charts", Presence::Optional, 1, 4096, aSettings.mCharts);
   aReader.Integer("max_connections", Presence::Optional, 10, 20'000, aSettings.mMaxConnections);
+  ReadRpcSecurity(aReader, aSettings.mSecurity);
   ReadLogSettings(aReader, aSettings.mLogLevel);
 }
 
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -3,6 +3,7 @@
 #define APRICOTYARD_ENTRY_SETTINGS_H
 
 #include "events.h"
+#include "rpc_credentials.h"
 #include "settings.h"
 
 namespace apricotyard {
@@ -18,6 +19,7 @@
   std::vector<SocketAddress> mControl;
   // Folder of the state charts.
   std::string mCharts = "charts";
+  RpcSecurity mSecurity;
   std::int64_t mMaxConnections = 2000;
   LogLevel mLogLevel = LogLevel::Info;
 };
--- a/src/peer_service.cpp
+++ b/src/peer_service.cpp
@@ -266,20 +266,23 @@
 };
 
 std::shared_ptr<rpc::Peer::Stub>
-Connect(const SocketAddress& aAddress)
+Connect(const SocketAddress& aAddress,
+        const std::shared_ptr<grpc::ChannelCredentials>& aCredentials)
 {
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMinBackoffMs);
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinBackoffMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxBackoffMs);
-  return rpc::Peer::NewStub(grpc::CreateCustomChannel(
-    FormatSocketAddress(aAddress), grpc::InsecureChannelCredentials(), arguments));
+  return rpc::Peer::NewStub(
+    grpc::CreateCustomChannel(FormatSocketAddress(aAddress), aCredentials, arguments));
 }
 
 } // namespace
 
 struct PeerService::State
 {
+  std::shared_ptr<grpc::ServerCredentials> mServerCredentials;
+  std::shared_ptr<grpc::ChannelCredentials> mClientCredentials;
   Loop& mLoop;
   CallTable mCalls;
   TrafficCounters mTraffic;
@@ -323,10 +326,12 @@
   }
 };
 
-PeerService::PeerService(Loop& aLoop, PeerHandlers aHandlers)
+PeerService::PeerService(Loop& aLoop, const RpcSecurity& aSecurity, PeerHandlers aHandlers)
   : mState(std::make_unique<State>(aLoop, std::move(aHandlers)))
 {
   HoldCallbackQueue();
+  mState->mServerCredentials = MakeServerCredentials(aSecurity);
+  mState->mClientCredentials = MakeChannelCredentials(aSecurity);
 }
 
 PeerService::~PeerService()
@@ -348,7 +353,7 @@
   builder.SetResourceQuota(quota);
   builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
   int port = 0;
-  builder.AddListeningPort(FormatSocketAddress(aAddress), grpc::InsecureServerCredentials(), &port);
+  builder.AddListeningPort(FormatSocketAddress(aAddress), mState->mServerCredentials, &port);
   builder.RegisterService(&mState->mService);
   for (grpc::Service* const service : aServices) {
     builder.RegisterService(service);
@@ -369,7 +374,8 @@
     const bool same =
       known != mState->mChannels.end() && known->second.mAddress == peer.mPeerAddress;
     channels[peer.mHost] = { peer.mPeerAddress,
-                             same ? known->second.mStub : Connect(peer.mPeerAddress) };
+                             same ? known->second.mStub
+                                  : Connect(peer.mPeerAddress, mState->mClientCredentials) };
   }
   mState->mChannels = std::move(channels);
 }
--- a/src/peer_service.h
+++ b/src/peer_service.h
@@ -4,6 +4,7 @@
 
 #include "loop.h"
 #include "peer.pb.h"
+#include "rpc_credentials.h"
 
 #include <functional>
 #include <memory>
@@ -55,7 +56,7 @@
 class PeerService
 {
 public:
-  PeerService(Loop& aLoop, PeerHandlers aHandlers);
+  PeerService(Loop& aLoop, const RpcSecurity& aSecurity, PeerHandlers aHandlers);
   // Refuses open calls, cancels own calls and waits for gRPC's threads. The loop must not run any
   // more, and it must be destroyed later.
   ~PeerService();
--- a/src/rpc_credentials.cpp
+++ b/src/rpc_credentials.cpp
@@ -28,9 +28,9 @@
 {
   aReader.Boolean("tls.plaintext", Presence::Optional, aSecurity.mPlaintext);
   const Presence files = aSecurity.mPlaintext ? Presence::Optional : Presence::Required;
-  aReader.Text("tls.certificate", files, 0, kMaxPath, aSecurity.mCertificate);
-  aReader.Text("tls.key", files, 0, kMaxPath, aSecurity.mKey);
-  aReader.Text("tls.authorities", files, 0, kMaxPath, aSecurity.mAuthorities);
+  aReader.Text("tls.certificate", files, 1, kMaxPath, aSecurity.mCertificate);
+  aReader.Text("tls.key", files, 1, kMaxPath, aSecurity.mKey);
+  aReader.Text("tls.authorities", files, 1, kMaxPath, aSecurity.mAuthorities);
   aReader.Time("tls.refresh",
                Presence::Optional,
                std::chrono::seconds(1),
--- a/tests/test_contract_caller.cpp
+++ b/tests/test_contract_caller.cpp
@@ -136,7 +136,7 @@
     std::filesystem::create_directories(mFolder);
     std::ofstream(mFolder / "entry.toml")
       << fmt::format("host = 'e'\ndata_centre = 'dc'\naddress = '{0}:{1}'\npeer_address = "
-                     "'{0}:7922'\ncontrol = ['{0}:7921']\n",
+                     "'{0}:7922'\ncontrol = ['{0}:7921']\n[tls]\nplaintext = true\n",
                      TestIp(3),
                      kPort);
     const std::string program =
--- a/tests/test_discovery_node.cpp
+++ b/tests/test_discovery_node.cpp
@@ -23,9 +23,13 @@
 Identity(int aHost)
 {
   const PeerInfo peer = Peer(aHost);
-  return { peer.mHost,        1,
-           peer.mDataCentre,  peer.mCallerAddress,
-           peer.mPeerAddress, SOURCE_FOLDER "/charts" };
+  return { peer.mHost,
+           1,
+           peer.mDataCentre,
+           peer.mCallerAddress,
+           peer.mPeerAddress,
+           SOURCE_FOLDER "/charts",
+           { .mPlaintext = true } };
 }
 
 } // namespace
--- a/tests/test_rpc_credentials.cpp
+++ b/tests/test_rpc_credentials.cpp
@@ -126,7 +126,7 @@
     grpc::ClientContext context;
     context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(10));
     rpc::SyncReply reply;
-    const grpc::Status status = stub->Sync(&context, {}, &reply);
+    grpc::Status status = stub->Sync(&context, {}, &reply);
     CPPUNIT_ASSERT(!status.ok() || reply.revision() == 7);
     return status;
   }
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -38,18 +38,20 @@
 public:
   void AcceptsValidSettings()
   {
-    const auto problems = CheckEntry("host = 'e1'\ndata_centre = 'bolu'\n"
-                                     "address = '127.0.0.1:7200'\npeer_address = "
-                                     "'127.0.0.1:7201'\ncontrol = ['127.0.1.1:7101']\n");
+    const auto problems =
+      CheckEntry("host = 'e1'\ndata_centre = 'bolu'\n"
+                 "address = '127.0.0.1:7200'\npeer_address = "
+                 "'127.0.0.1:7201'\ncontrol = ['127.0.1.1:7101']\ntls.plaintext = true\n");
     CPPUNIT_ASSERT(problems.empty());
   }
 
   void ReportsFiveDifferentMistakes()
   {
     // An unknown key, a wrong type, a value out of range, a bad address and a missing key.
-    const auto problems = CheckEntry("host = 7\naddress = 'localhost:1'\nmax_connections = 1\n"
-                                     "peer_address = '127.0.0.1:7201'\n"
-                                     "control = ['127.0.1.1:7101']\ncolour = 'red'\n");
+    const auto problems =
+      CheckEntry("host = 7\naddress = 'localhost:1'\nmax_connections = 1\n"
+                 "peer_address = '127.0.0.1:7201'\n"
+                 "control = ['127.0.1.1:7101']\ntls.plaintext = true\ncolour = 'red'\n");
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 5 }, problems.size());
     CPPUNIT_ASSERT_EQUAL(std::string("data_centre"), problems[0].mKey);
     CPPUNIT_ASSERT_EQUAL(std::string("host"), problems[1].mKey);
@@ -58,7 +60,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("max_connections"), problems[3].mKey);
     CPPUNIT_ASSERT(problems[3].mMessage.find("from 10 to 20000") != std::string::npos);
     CPPUNIT_ASSERT_EQUAL(std::string("colour"), problems[4].mKey);
-    CPPUNIT_ASSERT_EQUAL(6U, problems[4].mLine);
+    CPPUNIT_ASSERT_EQUAL(7U, problems[4].mLine);
   }
 
   void ReportsSyntaxError()
@@ -90,7 +92,7 @@
     SettingsReader reader("a",
                           "host = 'e1'\ndata_centre = 'bolu'\naddress = '127.0.0.1:7200'\n"
                           "peer_address = '127.0.0.1:7201'\n"
-                          "control = ['127.0.1.1:7101']\n");
+                          "control = ['127.0.1.1:7101']\ntls.plaintext = true\n");
     EntrySettings settings;
     ReadEntrySettings(reader, settings);
     CPPUNIT_ASSERT(CheckEntry(reader.Effective()).empty());
