Leave the TLS files out of the printed settings when plaintext is set

Change: the files are read only without plaintext, or to report the contradiction.

Conclusion: the round trip test of the settings is what caught it.

--- a/src/rpc_credentials.cpp
+++ b/src/rpc_credentials.cpp
@@ -27,10 +27,15 @@
 ReadRpcSecurity(SettingsReader& aReader, RpcSecurity& aSecurity)
 {
   aReader.Boolean("tls.plaintext", Presence::Optional, aSecurity.mPlaintext);
-  const Presence files = aSecurity.mPlaintext ? Presence::Optional : Presence::Required;
-  aReader.Text("tls.certificate", files, 1, kMaxPath, aSecurity.mCertificate);
-  aReader.Text("tls.key", files, 1, kMaxPath, aSecurity.mKey);
-  aReader.Text("tls.authorities", files, 1, kMaxPath, aSecurity.mAuthorities);
+  // With plaintext the files are named only to be refused below: an empty path cannot be read back.
+  const auto readFile = [&](std::string_view aKey, std::string& aOut) {
+    if (!aSecurity.mPlaintext || aReader.Has(aKey)) {
+      aReader.Text(aKey, Presence::Required, 1, kMaxPath, aOut);
+    }
+  };
+  readFile("tls.certificate", aSecurity.mCertificate);
+  readFile("tls.key", aSecurity.mKey);
+  readFile("tls.authorities", aSecurity.mAuthorities);
   aReader.Time("tls.refresh",
                Presence::Optional,
                std::chrono::seconds(1),
