--- a/src/control_server.cpp
+++ b/src/control_server.cpp
@@ -5,11 +5,10 @@
 #include "control.grpc.pb.h"
 #include "control_core.h"
 #include "log.h"
+#include "loop_calls.h"
 #include "raft_node.h"
 
-#include <set>
 #include <thread>
-#include <utility>
 
 #include <fmt/format.h>
 #include <grpcpp/grpcpp.h>
@@ -41,43 +40,29 @@
   return *std::move(node);
 }
 
-// A call that the loop has not finished yet. Only on the loop's thread after it was posted.
-template<typename Reply>
-struct OpenCall
-{
-  grpc::ServerUnaryReactor* mReactor = nullptr;
-  // Valid until the call is finished.
-  Reply* mReply = nullptr;
-};
-
 // Passes each call to the loop, which finishes it.
 class ControlService final : public rpc::Control::CallbackService
 {
 public:
   ControlService(Loop& aLoop, ControlCore& aCore)
-    : mLoop(aLoop)
+    : mCalls(aLoop)
     , mCore(aCore)
   {
   }
 
   // Finishes the calls that wait for a log which may never answer. Only on the loop's thread.
-  void AbandonCalls()
-  {
-    for (grpc::ServerUnaryReactor* const reactor : std::exchange(mOpen, {})) {
-      reactor->Finish({ grpc::StatusCode::UNAVAILABLE, "the control host is stopping" });
-    }
-  }
+  void AbandonCalls() { mCalls.Abandon(); }
 
   grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* aContext,
                                  const rpc::SyncRequest* aRequest,
                                  rpc::SyncReply* aReply) override
   {
-    return Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::SyncReply>& aCall) {
+    return mCalls.Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::SyncReply>& aCall) {
       auto reply = mCore.Sync(*aRequest, SteadyNow());
       if (reply) {
-        Finish(aCall, *reply, grpc::Status::OK);
+        mCalls.Finish(aCall, *reply, grpc::Status::OK);
       } else {
-        Finish(aCall, {}, { grpc::StatusCode::INVALID_ARGUMENT, reply.error().mMessage });
+        mCalls.Finish(aCall, {}, { grpc::StatusCode::INVALID_ARGUMENT, reply.error().mMessage });
       }
     });
   }
@@ -86,7 +71,7 @@
                                       const rpc::Claim* aRequest,
                                       rpc::ClaimReply* aReply) override
   {
-    return Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::ClaimReply>& aCall) {
+    return mCalls.Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::ClaimReply>& aCall) {
       mCore.Claim(*aRequest, Finisher(aCall));
     });
   }
@@ -95,7 +80,7 @@
                                           const rpc::ClaimOutcome* aRequest,
                                           rpc::ClaimReply* aReply) override
   {
-    return Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::ClaimReply>& aCall) {
+    return mCalls.Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::ClaimReply>& aCall) {
       mCore.Record(*aRequest, Finisher(aCall));
     });
   }
@@ -104,45 +89,20 @@
                                              const rpc::Quarantine* aRequest,
                                              rpc::ClaimReply* aReply) override
   {
-    return Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::ClaimReply>& aCall) {
+    return mCalls.Pass(aContext, aReply, [this, aRequest](const OpenCall<rpc::ClaimReply>& aCall) {
       mCore.Quarantine(*aRequest, Finisher(aCall));
     });
   }
 
 private:
-  template<typename Reply, typename Work>
-  grpc::ServerUnaryReactor* Pass(grpc::CallbackServerContext* aContext, Reply* aReply, Work aWork)
-  {
-    grpc::ServerUnaryReactor* const reactor = aContext->DefaultReactor();
-    const bool posted = mLoop.Post([this, reactor, aReply, work = std::move(aWork)] {
-      mOpen.insert(reactor);
-      work(OpenCall<Reply>{ reactor, aReply });
-    });
-    if (!posted) {
-      reactor->Finish({ grpc::StatusCode::RESOURCE_EXHAUSTED, "too many messages are waiting" });
-    }
-    return reactor;
-  }
-
-  // Has no effect on a call that was abandoned.
-  template<typename Reply>
-  void Finish(const OpenCall<Reply>& aCall, const Reply& aReply, const grpc::Status& aStatus)
-  {
-    if (mOpen.erase(aCall.mReactor) != 0) {
-      *aCall.mReply = aReply;
-      aCall.mReactor->Finish(aStatus);
-    }
-  }
-
   ControlCore::ClaimHandler Finisher(const OpenCall<rpc::ClaimReply>& aCall)
   {
     return
-      [this, aCall](const rpc::ClaimReply& aReply) { Finish(aCall, aReply, grpc::Status::OK); };
+      [this, aCall](const rpc::ClaimReply& aReply) { mCalls.Finish(aCall, aReply, grpc::Status::OK); };
   }
 
-  Loop& mLoop;
+  LoopCalls mCalls;
   ControlCore& mCore;
-  std::set<grpc::ServerUnaryReactor*> mOpen;
 };
 
 } // namespace
--- /dev/null
+++ b/src/coordinator.cpp
@@ -0,0 +1,660 @@
+#include "coordinator.h"
+
+#include "cmdline.h"
+#include "discovery_node.h"
+#include "document_state.h"
+#include "fleet.grpc.pb.h"
+#include "fleet_client.h"
+#include "fleet_messages.h"
+#include "group_plan.h"
+#include "log.h"
+#include "loop_calls.h"
+#include "raft_node.h"
+
+#include <algorithm>
+#include <thread>
+
+#include <fmt/format.h>
+
+namespace apricotyard {
+
+namespace {
+
+// The largest document: a few thousand routes of 300 bytes.
+constexpr std::size_t kMaxDocumentBody = std::size_t{ 4 } * 1024 * 1024;
+// Upstreams and operators keep few connections; each takes 32 KiB while it is read.
+constexpr unsigned kMaxConnections = 1500;
+constexpr std::chrono::seconds kIdleTimeout{ 30 };
+// Operators wait a second for an answer; a proposal that takes much longer is asked again.
+constexpr Duration kLogTimeout = std::chrono::milliseconds(2500);
+constexpr Duration kExpireInterval = std::chrono::milliseconds(250);
+constexpr Duration kPlanInterval = std::chrono::milliseconds(500);
+// How long a request to join counts; it is repeated each second.
+constexpr Duration kJoinFresh = std::chrono::seconds(3);
+constexpr Duration kJoinInterval = std::chrono::seconds(1);
+// Documents are small, so the log is cut early and a restart reads little.
+constexpr std::uint64_t kSnapshotEntries = 500;
+constexpr std::uint64_t kKeptEntries = 100;
+// The disk of a coordinator holds 128 MB; snapshots replace each other within this.
+constexpr std::uint64_t kSnapshotBytes = std::uint64_t{ 8 } * 1024 * 1024;
+constexpr std::chrono::milliseconds kShutdownGrace{ 500 };
+// What an operator or upstream that was refused for a passing reason should wait, in seconds.
+constexpr const char* kRetryAfter = "0.5";
+
+std::uint64_t
+NewIncarnation()
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds(1));
+}
+
+// The name of a member is derived from its address, which is all that seeds tell.
+std::string
+MemberNameOf(const std::string& aIp)
+{
+  std::string name = aIp;
+  std::replace(name.begin(), name.end(), '.', '-');
+  return name;
+}
+
+HttpResponse
+Unavailable(std::string_view aMessage)
+{
+  HttpResponse response = ErrorResponse(Result::NoLeader, aMessage);
+  response.mHeaders.push_back({ "Retry-After", kRetryAfter });
+  return response;
+}
+
+class Coordinator
+{
+public:
+  Coordinator(Loop& aLoop, const CoordinatorSettings& aSettings, const Dialect& aDialect)
+    : mLoop(aLoop)
+    , mSettings(aSettings)
+    , mDialect(aDialect)
+    , mState([this] { OnDocument(); })
+  {
+    mSelf.mName = aSettings.mHost;
+    mSelf.mDataCentre = aSettings.mDataCentre;
+    mSelf.mIncarnation = NewIncarnation();
+    mSelf.mRole = FleetRole::Coordinator;
+    mSelf.mIp = aSettings.mControlAddress.mIp;
+    mSelf.mPublicAddress = aSettings.mControlAddress;
+    mSelf.mServing = true;
+    mRegistry.mDirectory.mHost = mSelf.mIp;
+    mRegistry.mDirectory.mIncarnation = mSelf.mIncarnation;
+  }
+
+  Expected<void> Start();
+
+  void HandleCall(const HttpRequest& aRequest, const HttpResponder& aRespond);
+  rpc::FleetSyncReply Sync(const rpc::FleetSyncRequest& aRequest);
+  rpc::FleetJoinReply Join(const rpc::FleetJoinRequest& aRequest);
+  void AddSeeds(const std::vector<SocketAddress>& aSeeds);
+  void BeginStop();
+
+private:
+  SocketAddress PeerAddress(const std::string& aIp) const
+  {
+    return { aIp, static_cast<std::uint16_t>(mSettings.mPeerPort) };
+  }
+  bool IsSeed() const;
+  Expected<std::unique_ptr<RaftNode>> OpenNode();
+
+  void OnDocument();
+  void OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply);
+  void Plan();
+  void AskToJoin();
+
+  void Announce(const UpstreamInfo& aInfo, const HttpResponder& aRespond);
+  void Leave(const UpstreamInfo& aInfo, const HttpResponder& aRespond);
+  void OfferDocument(const HttpRequest& aRequest, const HttpResponder& aRespond);
+  void Propose(StoredDocument aDocument, const std::string& aPath, const HttpResponder& aRespond);
+  void ReadDocument(const HttpResponder& aRespond);
+  void FindGateways(const std::string& aDataCentre, const HttpResponder& aRespond);
+
+  Loop& mLoop;
+  const CoordinatorSettings& mSettings;
+  const Dialect& mDialect;
+  FleetHost mSelf;
+  FleetRegistry mRegistry;
+  DocumentState mState;
+  std::unique_ptr<RaftNode> mLog;
+  std::unique_ptr<FleetClient> mClient;
+  std::map<std::string, std::pair<LogMember, TimePoint>> mJoining;
+  bool mChanging = false;
+  bool mStopping = false;
+  // The term that this host leads, and since when.
+  std::uint64_t mLeadingTerm = 0;
+  TimePoint mLeadingSince;
+  TimePoint mNextJoin;
+};
+
+bool
+Coordinator::IsSeed() const
+{
+  return std::any_of(mSettings.mSeeds.begin(), mSettings.mSeeds.end(), [this](const auto& aSeed) {
+    return aSeed.mIp == mSelf.mIp;
+  });
+}
+
+Expected<std::unique_ptr<RaftNode>>
+Coordinator::OpenNode()
+{
+  std::vector<LogMember> initial;
+  if (mSettings.mFirstStart && IsSeed()) {
+    for (const SocketAddress& seed : mSettings.mSeeds) {
+      initial.push_back({ MemberNameOf(seed.mIp), PeerAddress(seed.mIp), MemberRole::Voter });
+    }
+  }
+  MemberSettings settings;
+  settings.mTimeout = kLogTimeout;
+  settings.mSnapshotEntries = kSnapshotEntries;
+  settings.mSnapshotBytes = kSnapshotBytes;
+  settings.mRaft.mKeptEntries = kKeptEntries;
+  settings.mSeed = mSelf.mIncarnation;
+  return RaftNode::Builder(mLoop)
+    .Name(MemberNameOf(mSelf.mIp))
+    .Folder(mSettings.mDataFolder)
+    .Address(PeerAddress(mSelf.mIp))
+    .InitialMembers(std::move(initial))
+    .Machine(mState.Machine())
+    .ChartFile(mSettings.mCharts + "/control_member.toml")
+    .Credentials(MakeServerCredentials(mSettings.mSecurity),
+                 MakeChannelCredentials(mSettings.mSecurity))
+    .Settings(settings)
+    .Start();
+}
+
+Expected<void>
+Coordinator::Start()
+{
+  auto log = OpenNode();
+  if (!log) {
+    return tl::unexpected(log.error());
+  }
+  mLog = *std::move(log);
+  FleetClientSettings client;
+  client.mRpcPort = static_cast<std::uint16_t>(mSettings.mRpcPort);
+  client.mSecurity = mSettings.mSecurity;
+  mClient = std::make_unique<FleetClient>(
+    mLoop, client, [this](const std::string& aIp, const rpc::FleetSyncReply& aReply) {
+      OnSync(aIp, aReply);
+    });
+  mClient->SetSelf(mSelf);
+  AddSeeds(mSettings.mSeeds);
+  mLoop.AddPeriodic(kExpireInterval, [this] { ExpireRegistry(mRegistry, SteadyNow()); });
+  mLoop.AddPeriodic(kPlanInterval, [this] {
+    Plan();
+    AskToJoin();
+  });
+  return {};
+}
+
+void
+Coordinator::AddSeeds(const std::vector<SocketAddress>& aSeeds)
+{
+  for (const SocketAddress& seed : aSeeds) {
+    if (seed.mIp != mSelf.mIp) {
+      mClient->AddCoordinator(seed.mIp);
+    }
+  }
+}
+
+void
+Coordinator::BeginStop()
+{
+  mStopping = true;
+  mSelf.mServing = false;
+  mClient->SetSelf(mSelf);
+}
+
+void
+Coordinator::OnDocument()
+{
+  LogEvent(Event::DocumentStored,
+           { { "version", mState.Current().mVersion },
+             { "bytes", mState.Current().mBytes.size() } });
+}
+
+void
+Coordinator::OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply)
+{
+  const TimePoint now = SteadyNow();
+  for (const rpc::Record& message : aReply.records()) {
+    auto record = FromMessage(message);
+    if (!record) {
+      LogEvent(Event::AnnouncementRejected,
+               { { "coordinator", aIp }, { "reason", record.error().mMessage } });
+      continue;
+    }
+    ApplyRecord(mRegistry.mDirectory, *record, std::chrono::milliseconds(message.idle_ms()), now);
+  }
+  VouchRegistrar(mRegistry.mDirectory, aIp, aReply.self().incarnation(), now);
+  for (const rpc::FleetHost& host : aReply.coordinators()) {
+    if (host.ip() != mSelf.mIp) {
+      mClient->AddCoordinator(host.ip());
+    }
+  }
+}
+
+// Takes the next step of the membership as the leader.
+void
+Coordinator::Plan()
+{
+  const LogStatus status = mLog->Status();
+  const TimePoint now = SteadyNow();
+  if (!status.mLeading) {
+    mLeadingTerm = 0;
+    return;
+  }
+  if (mLeadingTerm != status.mTerm) {
+    mLeadingTerm = status.mTerm;
+    mLeadingSince = now;
+  }
+  if (mChanging) {
+    return;
+  }
+  MembershipView view;
+  view.mMembers = status.mMembers;
+  view.mLastIndex = status.mLastIndex;
+  view.mLeader = status.mSelf;
+  view.mLeadingSince = mLeadingSince;
+  std::erase_if(mJoining, [now](const auto& aEntry) {
+    return aEntry.second.second + kJoinFresh < now;
+  });
+  for (const auto& [ip, joining] : mJoining) {
+    view.mJoining.push_back(joining.first);
+  }
+  for (const auto& [ip, host] : mRegistry.mHosts) {
+    view.mHeardAt[ip] = host.mHeardAt;
+  }
+  const auto step = PlanGroup(view, now);
+  if (!step) {
+    return;
+  }
+  mChanging = true;
+  const auto done = [this, step = *step](const Expected<void>& aResult) {
+    mChanging = false;
+    LogEvent(Event::GroupStepTaken,
+             { { "change", static_cast<int>(step.mChange) },
+               { "member", step.mMember.mId },
+               { "result", aResult ? "ok" : aResult.error().mMessage } });
+  };
+  switch (step->mChange) {
+    case GroupChange::AddLearner:
+      mLog->AddLearner(step->mMember, done);
+      break;
+    case GroupChange::Promote:
+      mLog->Promote(step->mMember.mId, done);
+      break;
+    case GroupChange::Remove:
+      mLog->Remove(step->mMember.mId, done);
+      break;
+  }
+}
+
+void
+Coordinator::AskToJoin()
+{
+  const LogStatus status = mLog->Status();
+  const TimePoint now = SteadyNow();
+  const bool member =
+    std::any_of(status.mMembers.begin(), status.mMembers.end(), [&status](const LogMember& aMember) {
+      return aMember.mId == status.mSelf;
+    });
+  // The seeds of the first start form the group themselves.
+  const bool forming = mSettings.mFirstStart && IsSeed() && status.mLastIndex == 0;
+  if (member || forming || mStopping || now < mNextJoin) {
+    return;
+  }
+  mNextJoin = now + kJoinInterval;
+  mClient->AskToJoin(MemberNameOf(mSelf.mIp), PeerAddress(mSelf.mIp), status.mSelf);
+}
+
+rpc::FleetJoinReply
+Coordinator::Join(const rpc::FleetJoinRequest& aRequest)
+{
+  rpc::FleetJoinReply reply;
+  if (!mLog->Status().mLeading) {
+    reply.set_message("this host does not lead");
+    return reply;
+  }
+  LogMember member;
+  member.mId = aRequest.identity();
+  member.mAddress = { aRequest.ip(), static_cast<std::uint16_t>(aRequest.port()) };
+  member.mRole = MemberRole::Learner;
+  mJoining[aRequest.ip()] = { member, SteadyNow() };
+  reply.set_accepted(true);
+  return reply;
+}
+
+rpc::FleetSyncReply
+Coordinator::Sync(const rpc::FleetSyncRequest& aRequest)
+{
+  const TimePoint now = SteadyNow();
+  if (auto host = FromMessage(aRequest.self())) {
+    HearHost(mRegistry, *host, now);
+    if (host->mRole == FleetRole::Coordinator && host->mIp != mSelf.mIp) {
+      mClient->AddCoordinator(host->mIp);
+    }
+  }
+  rpc::FleetSyncReply reply;
+  *reply.mutable_self() = ToMessage(mSelf);
+  const LogStatus status = mLog->Status();
+  reply.set_current(status.mLeading || !status.mLeader.empty());
+  const StoredDocument& document = mState.Current();
+  reply.set_document_version(document.mVersion);
+  if (document.mVersion > aRequest.document_version()) {
+    reply.set_document(document.mBytes);
+  }
+  const bool sameRun = aRequest.cursor_incarnation() == mSelf.mIncarnation;
+  reply.set_cursor(mRegistry.mCursor);
+  for (const DirectoryRecord* record : ChangedSince(mRegistry, sameRun ? aRequest.cursor() : 0)) {
+    ToMessage(*record, now - record->mVouchedAt, *reply.add_records());
+  }
+  std::uint32_t gateways = 0;
+  *reply.add_coordinators() = ToMessage(mSelf);
+  for (const auto& [ip, known] : mRegistry.mHosts) {
+    if (known.mHost.mRole == FleetRole::Coordinator) {
+      *reply.add_coordinators() = ToMessage(known.mHost);
+    } else if (known.mHeardAt + kGatewayFresh > now) {
+      ++gateways;
+    }
+  }
+  reply.set_gateways(gateways);
+  return reply;
+}
+
+void
+Coordinator::HandleCall(const HttpRequest& aRequest, const HttpResponder& aRespond)
+{
+  auto call = mDialect.mDecodeCall(aRequest);
+  if (!call) {
+    LogEvent(Event::FleetCallRejected,
+             { { "path", aRequest.mPath }, { "reason", call.error().mMessage } });
+    aRespond(ErrorResponse(call.error().mResult, call.error().mMessage));
+    return;
+  }
+  switch (call->mKind) {
+    case FleetCallKind::Announce:
+      Announce(call->mUpstream, aRespond);
+      break;
+    case FleetCallKind::Leave:
+      Leave(call->mUpstream, aRespond);
+      break;
+    case FleetCallKind::OfferDocument:
+      OfferDocument(aRequest, aRespond);
+      break;
+    case FleetCallKind::ReadDocument:
+      ReadDocument(aRespond);
+      break;
+    case FleetCallKind::FindGateways:
+      FindGateways(call->mDataCentre, aRespond);
+      break;
+    case FleetCallKind::CheckReady:
+    case FleetCallKind::Unknown:
+      aRespond(ErrorResponse(Result::NotFound, "no such path"));
+      break;
+  }
+}
+
+void
+Coordinator::Announce(const UpstreamInfo& aInfo, const HttpResponder& aRespond)
+{
+  const AnnounceOutcome outcome = RegisterUpstream(mRegistry, aInfo, SteadyNow());
+  if (outcome == AnnounceOutcome::Full) {
+    aRespond(Unavailable("the table of upstreams is full"));
+    return;
+  }
+  if (outcome == AnnounceOutcome::Changed) {
+    LogEvent(Event::UpstreamAnnounced,
+             { { "upstream", aInfo.mId },
+               { "service", aInfo.mService },
+               { "address", FormatSocketAddress(aInfo.mAddress) },
+               { "incarnation", aInfo.mIncarnation },
+               { "sequence", aInfo.mSequence },
+               { "state", aInfo.mState == UpstreamState::Draining ? "draining" : "ready" } });
+  }
+  aRespond(mDialect.mEncodeAcknowledged());
+}
+
+void
+Coordinator::Leave(const UpstreamInfo& aInfo, const HttpResponder& aRespond)
+{
+  const bool known = RemoveUpstream(mRegistry, aInfo.mId, aInfo.mIncarnation, SteadyNow());
+  LogEvent(Event::UpstreamLeft, { { "upstream", aInfo.mId }, { "known", known } });
+  aRespond(mDialect.mEncodeAcknowledged());
+}
+
+void
+Coordinator::OfferDocument(const HttpRequest& aRequest, const HttpResponder& aRespond)
+{
+  const auto document = mDialect.mDecodeDocument(aRequest.mBody);
+  const Expected<void> checked =
+    document ? CheckRouting(*document) : tl::unexpected(document.error());
+  if (!checked) {
+    LogEvent(Event::DocumentRefused, { { "reason", checked.error().mMessage } });
+    aRespond(ErrorResponse(Result::InvalidDocument, checked.error().mMessage));
+    return;
+  }
+  if (document->mVersion <= mState.Current().mVersion) {
+    LogEvent(Event::DocumentKnown,
+             { { "version", document->mVersion }, { "held", mState.Current().mVersion } });
+    HttpResponse response;
+    response.mBody = "{}";
+    aRespond(std::move(response));
+    return;
+  }
+  Propose({ document->mVersion, aRequest.mBody }, aRequest.mPath, aRespond);
+}
+
+void
+Coordinator::Propose(StoredDocument aDocument,
+                     const std::string& aPath,
+                     const HttpResponder& aRespond)
+{
+  const LogStatus status = mLog->Status();
+  if (!status.mLeading) {
+    const auto leader =
+      std::find_if(status.mMembers.begin(), status.mMembers.end(), [&status](const auto& aMember) {
+        return aMember.mId == status.mLeader;
+      });
+    if (leader == status.mMembers.end() || status.mLeader == status.mSelf) {
+      aRespond(Unavailable("no leader is known"));
+      return;
+    }
+    HttpResponse response;
+    response.mStatus = 307;
+    const SocketAddress target{ leader->mAddress.mIp, mSettings.mControlAddress.mPort };
+    response.mHeaders.push_back(
+      { "Location", fmt::format("http://{}{}", FormatSocketAddress(target), aPath) });
+    aRespond(std::move(response));
+    return;
+  }
+  const DocumentVersion version = aDocument.mVersion;
+  const TimePoint began = SteadyNow();
+  mLog->Propose(EncodeDocument(aDocument),
+                [aRespond, version, began](const Expected<std::string>& aOutcome) {
+                  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    SteadyNow() - began);
+                  LogEvent(Event::DocumentProposed,
+                           { { "version", version },
+                             { "took_ms", took.count() },
+                             { "result", aOutcome ? "ok" : aOutcome.error().mMessage } });
+                  if (!aOutcome) {
+                    aRespond(Unavailable(aOutcome.error().mMessage));
+                    return;
+                  }
+                  HttpResponse response;
+                  response.mBody = "{}";
+                  aRespond(std::move(response));
+                });
+}
+
+void
+Coordinator::ReadDocument(const HttpResponder& aRespond)
+{
+  mLog->ReadBarrier([this, aRespond](const Expected<void>& aResult) {
+    if (!aResult || mState.Current().mVersion == 0) {
+      aRespond(Unavailable(aResult ? "there is no document yet" : aResult.error().mMessage));
+      return;
+    }
+    HttpResponse response;
+    response.mBody = mState.Current().mBytes;
+    aRespond(std::move(response));
+  });
+}
+
+void
+Coordinator::FindGateways(const std::string& aDataCentre, const HttpResponder& aRespond)
+{
+  std::vector<SocketAddress> addresses;
+  for (const FleetHost* host : ServingGateways(mRegistry, aDataCentre, SteadyNow())) {
+    addresses.push_back(host->mPublicAddress);
+  }
+  if (addresses.empty()) {
+    aRespond(Unavailable("no gateway is known"));
+    return;
+  }
+  aRespond(mDialect.mEncodeGateways(
+    addresses, std::chrono::duration_cast<std::chrono::milliseconds>(mSettings.mAddressLifetime)));
+}
+
+class FleetService final : public rpc::Fleet::CallbackService
+{
+public:
+  FleetService(Loop& aLoop, Coordinator& aCoordinator)
+    : mCalls(aLoop)
+    , mCoordinator(aCoordinator)
+  {
+  }
+
+  void AbandonCalls() { mCalls.Abandon(); }
+
+  grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* aContext,
+                                 const rpc::FleetSyncRequest* aRequest,
+                                 rpc::FleetSyncReply* aReply) override
+  {
+    return mCalls.Pass(aContext, aReply, [this, aRequest](const auto& aCall) {
+      mCalls.Finish(aCall, mCoordinator.Sync(*aRequest), grpc::Status::OK);
+    });
+  }
+
+  grpc::ServerUnaryReactor* Join(grpc::CallbackServerContext* aContext,
+                                 const rpc::FleetJoinRequest* aRequest,
+                                 rpc::FleetJoinReply* aReply) override
+  {
+    return mCalls.Pass(aContext, aReply, [this, aRequest](const auto& aCall) {
+      mCalls.Finish(aCall, mCoordinator.Join(*aRequest), grpc::Status::OK);
+    });
+  }
+
+private:
+  LoopCalls mCalls;
+  Coordinator& mCoordinator;
+};
+
+Expected<std::unique_ptr<HttpServer>>
+Listen(Loop& aLoop, Coordinator& aCoordinator, const SocketAddress& aAddress)
+{
+  return HttpServer::Builder(aLoop, aAddress)
+    .MaxBody(kMaxDocumentBody)
+    .MaxConnections(kMaxConnections)
+    .IdleTimeout(kIdleTimeout)
+    .OnRequest([&aCoordinator](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+      aCoordinator.HandleCall(aRequest, aRespond);
+    })
+    .Start();
+}
+
+} // namespace
+
+void
+ReadCoordinatorSettings(SettingsReader& aReader, CoordinatorSettings& aSettings)
+{
+  constexpr std::int64_t kMaxPort = 65'535;
+  aReader.Text("host", Presence::Required, 1, 64, aSettings.mHost);
+  aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
+  aReader.Address("control_address", Presence::Required, aSettings.mControlAddress);
+  aReader.Address("directory_address", Presence::Required, aSettings.mDirectoryAddress);
+  aReader.Integer("rpc_port", Presence::Required, 1, kMaxPort, aSettings.mRpcPort);
+  aReader.Integer("peer_port", Presence::Required, 1, kMaxPort, aSettings.mPeerPort);
+  aReader.Text("data_folder", Presence::Required, 1, 4096, aSettings.mDataFolder);
+  aReader.AddressList("seeds", Presence::Required, aSettings.mSeeds);
+  aReader.Boolean("first_start", Presence::Optional, aSettings.mFirstStart);
+  aReader.Time("address_lifetime",
+               Presence::Optional,
+               std::chrono::seconds(1),
+               std::chrono::seconds(60),
+               aSettings.mAddressLifetime);
+  aReader.Text("charts", Presence::Optional, 1, 4096, aSettings.mCharts);
+  ReadRpcSecurity(aReader, aSettings.mSecurity);
+  ReadLogSettings(aReader, aSettings.mLogLevel);
+}
+
+int
+RunCoordinator(const CoordinatorSettings& aSettings, const Dialect& aDialect)
+{
+  BlockStopSignals();
+  Loop loop;
+  Coordinator coordinator(loop, aSettings, aDialect);
+  FleetService service(loop, coordinator);
+  std::unique_ptr<grpc::Server> rpcServer;
+  std::thread stopper;
+  HandleStopSignals(loop, [&] {
+    if (!stopper.joinable()) {
+      LogEvent(Event::ProcessStopping, { { "host", aSettings.mHost } });
+      coordinator.BeginStop();
+      loop.AddPeriodic(kShutdownGrace, [&] { service.AbandonCalls(); });
+      stopper = std::thread([&] {
+        rpcServer->Shutdown(std::chrono::system_clock::now() + kShutdownGrace);
+        loop.Stop();
+      });
+    }
+  });
+  StartLogger("apricot-coordinator", aSettings.mLogLevel);
+  std::string failure;
+  std::unique_ptr<HttpServer> control;
+  std::unique_ptr<HttpServer> directory;
+  if (auto started = coordinator.Start(); !started) {
+    failure = started.error().mMessage;
+  }
+  for (const auto& [address, server] : { std::pair{ aSettings.mControlAddress, &control },
+                                         std::pair{ aSettings.mDirectoryAddress, &directory } }) {
+    if (auto listening = Listen(loop, coordinator, address)) {
+      *server = *std::move(listening);
+    } else {
+      failure = listening.error().mMessage;
+    }
+  }
+  grpc::ServerBuilder builder;
+  int port = 0;
+  const SocketAddress rpcAddress{ aSettings.mControlAddress.mIp,
+                                  static_cast<std::uint16_t>(aSettings.mRpcPort) };
+  builder.AddListeningPort(
+    FormatSocketAddress(rpcAddress), MakeServerCredentials(aSettings.mSecurity), &port);
+  builder.RegisterService(&service);
+  if (failure.empty()) {
+    rpcServer = builder.BuildAndStart();
+    if (rpcServer == nullptr || port == 0) {
+      failure = "cannot listen on " + FormatSocketAddress(rpcAddress);
+    }
+  }
+  if (failure.empty()) {
+    LogEvent(Event::ProcessStarted, { { "host", aSettings.mHost } });
+    loop.Run();
+    if (!stopper.joinable()) {
+      rpcServer->Shutdown(std::chrono::system_clock::now());
+    } else {
+      stopper.join();
+    }
+    LogEvent(Event::ProcessStopped, { { "host", aSettings.mHost } });
+  } else {
+    LogEvent(Event::StartFailed, { { "reason", failure } });
+  }
+  StopLogger();
+  return failure.empty() ? kExitOk : kExitFailure;
+}
+
+} // namespace apricotyard
--- /dev/null
+++ b/src/fleet_client.cpp
@@ -0,0 +1,273 @@
+#include "fleet_client.h"
+
+#include "fleet.grpc.pb.h"
+#include "fleet_messages.h"
+#include "log.h"
+#include "settings.h"
+
+#include <map>
+#include <optional>
+#include <thread>
+
+#include <grpcpp/grpcpp.h>
+
+namespace apricotyard {
+
+namespace {
+
+// A call that takes longer is given up; several round trips between data centres.
+constexpr std::chrono::milliseconds kSyncTimeout{ 700 };
+// Calls without an answer after which the connection is replaced: it may have gone silent while
+// new ones work.
+constexpr int kSilentCalls = 2;
+constexpr int kReconnectMinMillis = 100;
+constexpr int kReconnectMaxMillis = 400;
+
+std::unique_ptr<rpc::Fleet::Stub>
+OpenStub(const std::string& aAddress, const RpcSecurity& aSecurity)
+{
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectMinMillis);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectMaxMillis);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectMaxMillis);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  return rpc::Fleet::NewStub(
+    grpc::CreateCustomChannel(aAddress, MakeChannelCredentials(aSecurity), arguments));
+}
+
+// Shared by the threads of all coordinators.
+struct Shared
+{
+  absl::Mutex mMutex;
+  rpc::FleetHost mSelf;
+  DocumentVersion mDocumentVersion = 0;
+  // Raised to make every thread call at once.
+  std::uint64_t mKick = 0;
+  std::optional<rpc::FleetJoinRequest> mJoin;
+  // Raised with each join request.
+  std::uint64_t mJoinNumber = 0;
+  bool mStopping = false;
+};
+
+class CoordinatorLink
+{
+public:
+  using Deliver = std::function<bool(rpc::FleetSyncReply)>;
+
+  CoordinatorLink(Shared& aShared,
+                  std::string aAddress,
+                  const FleetClientSettings& aSettings,
+                  Deliver aDeliver)
+    : mShared(aShared)
+    , mAddress(std::move(aAddress))
+    , mSettings(aSettings)
+    , mDeliver(std::move(aDeliver))
+    , mThread([this] { Main(); })
+  {
+  }
+
+  ~CoordinatorLink() { mThread.join(); }
+
+  CoordinatorLink(const CoordinatorLink&) = delete;
+  CoordinatorLink& operator=(const CoordinatorLink&) = delete;
+
+private:
+  rpc::FleetSyncRequest NextRequest()
+  {
+    rpc::FleetSyncRequest request;
+    absl::MutexLock lock(&mShared.mMutex);
+    *request.mutable_self() = mShared.mSelf;
+    request.set_document_version(mShared.mDocumentVersion);
+    request.set_cursor(mCursor);
+    request.set_cursor_incarnation(mCursorIncarnation);
+    mSeenKick = mShared.mKick;
+    return request;
+  }
+
+  void Sync()
+  {
+    const rpc::FleetSyncRequest request = NextRequest();
+    rpc::FleetSyncReply reply;
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + kSyncTimeout);
+    const grpc::Status status = mStub->Sync(&context, request, &reply);
+    if (!status.ok()) {
+      Failed(status);
+      return;
+    }
+    if (!mReachable) {
+      LogEvent(Event::CoordinatorReached, { { "coordinator", mAddress } });
+    }
+    mReachable = true;
+    mFailures = 0;
+    const std::uint64_t cursor = reply.cursor();
+    const std::uint64_t incarnation = reply.self().incarnation();
+    // A reply that the loop cannot take is asked for again.
+    if (mDeliver(std::move(reply))) {
+      mCursor = cursor;
+      mCursorIncarnation = incarnation;
+    }
+  }
+
+  void Failed(const grpc::Status& aStatus)
+  {
+    if (mReachable || mFailures == 0) {
+      LogEvent(Event::CoordinatorLost,
+               { { "coordinator", mAddress }, { "reason", aStatus.error_message() } });
+    }
+    mReachable = false;
+    if (++mFailures % kSilentCalls == 0) {
+      mStub = OpenStub(mAddress, mSettings.mSecurity);
+    }
+  }
+
+  void Join()
+  {
+    rpc::FleetJoinRequest request;
+    {
+      absl::MutexLock lock(&mShared.mMutex);
+      if (mSeenJoin == mShared.mJoinNumber || !mShared.mJoin) {
+        return;
+      }
+      mSeenJoin = mShared.mJoinNumber;
+      request = *mShared.mJoin;
+    }
+    rpc::FleetJoinReply reply;
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + kSyncTimeout);
+    const grpc::Status status = mStub->Join(&context, request, &reply);
+    if (status.ok() && reply.accepted()) {
+      LogEvent(Event::JoinAccepted, { { "coordinator", mAddress } });
+    }
+  }
+
+  // Returns false when the link must end.
+  bool Pause()
+  {
+    absl::MutexLock lock(&mShared.mMutex);
+    const auto due = [this] { return mShared.mStopping || mShared.mKick != mSeenKick; };
+    mShared.mMutex.AwaitWithTimeout(absl::Condition(&due), absl::FromChrono(mSettings.mPause));
+    return !mShared.mStopping;
+  }
+
+  void Main()
+  {
+    mStub = OpenStub(mAddress, mSettings.mSecurity);
+    do {
+      Join();
+      Sync();
+    } while (Pause());
+  }
+
+  Shared& mShared;
+  const std::string mAddress;
+  const FleetClientSettings& mSettings;
+  const Deliver mDeliver;
+  std::unique_ptr<rpc::Fleet::Stub> mStub;
+  std::uint64_t mCursor = 0;
+  std::uint64_t mCursorIncarnation = 0;
+  std::uint64_t mSeenKick = 0;
+  std::uint64_t mSeenJoin = 0;
+  bool mReachable = false;
+  int mFailures = 0;
+  // Last, because it uses the members above.
+  std::thread mThread;
+};
+
+} // namespace
+
+struct FleetClient::State : std::enable_shared_from_this<FleetClient::State>
+{
+  State(Loop& aLoop, FleetClientSettings aSettings, ReplyHandler aOnReply)
+    : mLoop(aLoop)
+    , mSettings(std::move(aSettings))
+    , mOnReply(std::move(aOnReply))
+  {
+  }
+
+  Loop& mLoop;
+  const FleetClientSettings mSettings;
+  const ReplyHandler mOnReply;
+  Shared mShared;
+  std::map<std::string, std::unique_ptr<CoordinatorLink>> mLinks;
+};
+
+FleetClient::FleetClient(Loop& aLoop, FleetClientSettings aSettings, ReplyHandler aOnReply)
+  : mState(std::make_shared<State>(aLoop, std::move(aSettings), std::move(aOnReply)))
+{
+}
+
+FleetClient::~FleetClient()
+{
+  {
+    absl::MutexLock lock(&mState->mShared.mMutex);
+    mState->mShared.mStopping = true;
+  }
+  mState->mLinks.clear();
+}
+
+void
+FleetClient::AddCoordinator(const std::string& aIp)
+{
+  std::unique_ptr<CoordinatorLink>& link = mState->mLinks[aIp];
+  if (link != nullptr) {
+    return;
+  }
+  const auto deliver = [weak = mState->weak_from_this(), loop = &mState->mLoop, aIp](
+                         rpc::FleetSyncReply aReply) {
+    const auto shared = std::make_shared<rpc::FleetSyncReply>(std::move(aReply));
+    return loop->Post([weak, aIp, shared] {
+      if (const auto state = weak.lock()) {
+        state->mOnReply(aIp, *shared);
+      }
+    });
+  };
+  link = std::make_unique<CoordinatorLink>(
+    mState->mShared,
+    FormatSocketAddress({ aIp, mState->mSettings.mRpcPort }),
+    mState->mSettings,
+    deliver);
+}
+
+void
+FleetClient::SetSelf(const FleetHost& aSelf)
+{
+  absl::MutexLock lock(&mState->mShared.mMutex);
+  mState->mShared.mSelf = ToMessage(aSelf);
+  ++mState->mShared.mKick;
+}
+
+void
+FleetClient::SetDocumentVersion(DocumentVersion aVersion)
+{
+  absl::MutexLock lock(&mState->mShared.mMutex);
+  mState->mShared.mDocumentVersion = aVersion;
+}
+
+void
+FleetClient::AskToJoin(const std::string& aName,
+                       const SocketAddress& aAddress,
+                       std::string aIdentity)
+{
+  rpc::FleetJoinRequest request;
+  request.set_name(aName);
+  request.set_ip(aAddress.mIp);
+  request.set_port(aAddress.mPort);
+  request.set_identity(std::move(aIdentity));
+  absl::MutexLock lock(&mState->mShared.mMutex);
+  mState->mShared.mJoin = std::move(request);
+  ++mState->mShared.mJoinNumber;
+  ++mState->mShared.mKick;
+}
+
+std::vector<std::string>
+FleetClient::Coordinators() const
+{
+  std::vector<std::string> coordinators;
+  for (const auto& [ip, link] : mState->mLinks) {
+    coordinators.push_back(ip);
+  }
+  return coordinators;
+}
+
+} // namespace apricotyard
--- /dev/null
+++ b/src/fleet_messages.cpp
@@ -0,0 +1,39 @@
+#include "fleet_messages.h"
+
+#include "settings.h"
+
+namespace apricotyard {
+
+rpc::FleetHost
+ToMessage(const FleetHost& aHost)
+{
+  rpc::FleetHost message;
+  message.set_name(aHost.mName);
+  message.set_data_centre(aHost.mDataCentre);
+  message.set_incarnation(aHost.mIncarnation);
+  message.set_coordinator(aHost.mRole == FleetRole::Coordinator);
+  message.set_ip(aHost.mIp);
+  message.set_public_address(FormatSocketAddress(aHost.mPublicAddress));
+  message.set_serving(aHost.mServing);
+  return message;
+}
+
+Expected<FleetHost>
+FromMessage(const rpc::FleetHost& aMessage)
+{
+  const auto address = ParseSocketAddress(aMessage.public_address());
+  if (!address || aMessage.ip().empty()) {
+    return Fail(Result::BadRequest, "a host without an address");
+  }
+  FleetHost host;
+  host.mName = aMessage.name();
+  host.mDataCentre = aMessage.data_centre();
+  host.mIncarnation = aMessage.incarnation();
+  host.mRole = aMessage.coordinator() ? FleetRole::Coordinator : FleetRole::Gateway;
+  host.mIp = aMessage.ip();
+  host.mPublicAddress = *address;
+  host.mServing = aMessage.serving();
+  return host;
+}
+
+} // namespace apricotyard
--- /dev/null
+++ b/src/fleet_registry.cpp
@@ -0,0 +1,99 @@
+#include "fleet_registry.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace apricotyard {
+
+namespace {
+
+// Greater than every sequence that an upstream reaches, so that no announcement of the incarnation
+// that left is newer.
+constexpr std::uint64_t kLastSequence = std::numeric_limits<std::uint32_t>::max();
+
+void
+NumberChanges(FleetRegistry& aRegistry)
+{
+  for (const std::string& id : TakeChanges(aRegistry.mDirectory)) {
+    aRegistry.mChangedAt[id] = ++aRegistry.mCursor;
+  }
+}
+
+} // namespace
+
+AnnounceOutcome
+RegisterUpstream(FleetRegistry& aRegistry, const UpstreamInfo& aInfo, TimePoint aNow)
+{
+  const AnnounceOutcome outcome = ApplyAnnouncement(aRegistry.mDirectory, aInfo, aNow);
+  NumberChanges(aRegistry);
+  return outcome;
+}
+
+bool
+RemoveUpstream(FleetRegistry& aRegistry,
+               const std::string& aId,
+               std::uint64_t aIncarnation,
+               TimePoint aNow)
+{
+  const auto known = aRegistry.mDirectory.mRecords.find(aId);
+  if (known == aRegistry.mDirectory.mRecords.end() ||
+      (aIncarnation != 0 && known->second.mInfo.mIncarnation > aIncarnation)) {
+    return false;
+  }
+  UpstreamInfo info = known->second.mInfo;
+  info.mState = UpstreamState::Left;
+  info.mSequence = std::max(kLastSequence, info.mSequence + 1);
+  RegisterUpstream(aRegistry, info, aNow);
+  return true;
+}
+
+void
+HearHost(FleetRegistry& aRegistry, const FleetHost& aHost, TimePoint aNow)
+{
+  KnownHost& known = aRegistry.mHosts[aHost.mIp];
+  // A call of an earlier process may arrive after the first one of its successor.
+  if (aHost.mIncarnation >= known.mHost.mIncarnation) {
+    known = { aHost, aNow };
+  }
+}
+
+void
+ExpireRegistry(FleetRegistry& aRegistry, TimePoint aNow)
+{
+  ExpireLeases(aRegistry.mDirectory, aNow);
+  NumberChanges(aRegistry);
+}
+
+std::vector<const DirectoryRecord*>
+ChangedSince(const FleetRegistry& aRegistry, std::uint64_t aCursor)
+{
+  std::vector<const DirectoryRecord*> changed;
+  const Directory& directory = aRegistry.mDirectory;
+  for (const auto& [id, number] : aRegistry.mChangedAt) {
+    const auto record = directory.mRecords.find(id);
+    if (number > aCursor && record != directory.mRecords.end() &&
+        record->second.mRegistrar == directory.mHost &&
+        record->second.mRegistrarIncarnation == directory.mIncarnation) {
+      changed.push_back(&record->second);
+    }
+  }
+  return changed;
+}
+
+std::vector<const FleetHost*>
+ServingGateways(const FleetRegistry& aRegistry, const std::string& aDataCentre, TimePoint aNow)
+{
+  std::vector<const FleetHost*> gateways;
+  for (const auto& [ip, known] : aRegistry.mHosts) {
+    if (known.mHost.mRole == FleetRole::Gateway && known.mHost.mServing &&
+        known.mHeardAt + kGatewayFresh > aNow) {
+      gateways.push_back(&known.mHost);
+    }
+  }
+  std::stable_partition(gateways.begin(), gateways.end(), [&](const FleetHost* aHost) {
+    return aHost->mDataCentre == aDataCentre;
+  });
+  return gateways;
+}
+
+} // namespace apricotyard
--- /dev/null
+++ b/src/gateway.cpp
@@ -0,0 +1,326 @@
+#include "gateway.h"
+
+#include "cmdline.h"
+#include "discovery_node.h"
+#include "fleet_client.h"
+#include "fleet_messages.h"
+#include "log.h"
+#include "relay.h"
+
+#include <algorithm>
+
+namespace apricotyard {
+
+namespace {
+
+// Callers send bodies up to the limit of the routing document; this bounds the memory of one.
+constexpr std::size_t kMaxCallerBody = std::size_t{ 1 } * 1024 * 1024;
+// Longer than callers keep idle connections, so that the caller closes first.
+constexpr std::chrono::seconds kIdleTimeout{ 60 };
+constexpr Duration kExpireInterval = std::chrono::milliseconds(250);
+// Without an answer of any coordinator for this time, no lease is ended: the upstreams cannot renew
+// them either.
+constexpr Duration kCoordinatorSilence = std::chrono::seconds(2);
+// After that, upstreams get this time to announce themselves again.
+constexpr Duration kReturnGrace = std::chrono::seconds(6);
+// Time before the end of the stop grace in which the process ends, finished or not.
+constexpr Duration kStopReserve = std::chrono::milliseconds(400);
+// Part of the stop grace in which new requests are still taken, because callers keep the list of
+// gateways for a while.
+constexpr double kAcceptShare = 0.75;
+constexpr Duration kStopCheck = std::chrono::milliseconds(50);
+
+class Gateway
+{
+public:
+  Gateway(Loop& aLoop, const GatewaySettings& aSettings, const Dialect& aDialect)
+    : mLoop(aLoop)
+    , mSettings(aSettings)
+    , mDialect(aDialect)
+    , mRelay(aLoop, aDialect, MakeRelaySettings(aSettings))
+  {
+    mSelf.mName = aSettings.mHost;
+    mSelf.mDataCentre = aSettings.mDataCentre;
+    mSelf.mIncarnation = static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds(1));
+    mSelf.mIp = aSettings.mCallerAddress.mIp;
+    mSelf.mPublicAddress = aSettings.mCallerAddress;
+    mDirectory.mHost = mSelf.mIp;
+    mDirectory.mIncarnation = mSelf.mIncarnation;
+  }
+
+  Expected<void> Start();
+  void BeginStop();
+
+private:
+  static RelaySettings MakeRelaySettings(const GatewaySettings& aSettings)
+  {
+    RelaySettings settings;
+    settings.mDataCentre = aSettings.mDataCentre;
+    settings.mSourceIp = aSettings.mCallerAddress.mIp;
+    settings.mExtraSends = aSettings.mExtraSends;
+    settings.mSeed = std::hash<std::string>()(aSettings.mHost);
+    return settings;
+  }
+
+  Expected<void> Listen();
+  void OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply);
+  void Adopt(const rpc::FleetSyncReply& aReply);
+  void Expire();
+  void PublishUpstreams();
+  void AnswerReady(const HttpRequest& aRequest, const HttpResponder& aRespond);
+  void CheckStopped();
+
+  Loop& mLoop;
+  const GatewaySettings& mSettings;
+  const Dialect& mDialect;
+  FleetHost mSelf;
+  Directory mDirectory;
+  Relay mRelay;
+  std::unique_ptr<FleetClient> mClient;
+  std::unique_ptr<HttpServer> mCallers;
+  std::unique_ptr<HttpServer> mReady;
+  DocumentVersion mVersion = 0;
+  std::map<std::string, std::uint32_t> mGatewayCounts;
+  TimePoint mHeardAt;
+  // When a coordinator was heard again after all were silent.
+  TimePoint mReturnedAt;
+  bool mStopping = false;
+  TimePoint mStopListening;
+  TimePoint mStopAt;
+};
+
+Expected<void>
+Gateway::Start()
+{
+  if (auto listening = Listen(); !listening) {
+    return listening;
+  }
+  FleetClientSettings client;
+  client.mRpcPort = static_cast<std::uint16_t>(mSettings.mRpcPort);
+  client.mSecurity = mSettings.mSecurity;
+  mClient = std::make_unique<FleetClient>(
+    mLoop, client, [this](const std::string& aIp, const rpc::FleetSyncReply& aReply) {
+      OnSync(aIp, aReply);
+    });
+  mClient->SetSelf(mSelf);
+  for (const SocketAddress& seed : mSettings.mSeeds) {
+    mClient->AddCoordinator(seed.mIp);
+  }
+  mLoop.AddPeriodic(kExpireInterval, [this] { Expire(); });
+  return {};
+}
+
+Expected<void>
+Gateway::Listen()
+{
+  auto callers = HttpServer::Builder(mLoop, mSettings.mCallerAddress)
+                   .ForForwarding()
+                   .MaxBody(kMaxCallerBody)
+                   .MaxConnections(static_cast<unsigned>(mSettings.mMaxConnections))
+                   .IdleTimeout(kIdleTimeout)
+                   .OnRequest([this](HttpRequest aRequest, HttpResponder aRespond) {
+                     mRelay.Handle(std::move(aRequest), std::move(aRespond));
+                   })
+                   .Start();
+  if (!callers) {
+    return tl::unexpected(callers.error());
+  }
+  mCallers = *std::move(callers);
+  auto ready = HttpServer::Builder(mLoop, mSettings.mReadyAddress)
+                 .OnRequest([this](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+                   AnswerReady(aRequest, aRespond);
+                 })
+                 .Start();
+  if (!ready) {
+    return tl::unexpected(ready.error());
+  }
+  mReady = *std::move(ready);
+  return {};
+}
+
+void
+Gateway::AnswerReady(const HttpRequest& aRequest, const HttpResponder& aRespond)
+{
+  const auto call = mDialect.mDecodeCall(aRequest);
+  if (!call || call->mKind != FleetCallKind::CheckReady) {
+    aRespond(ErrorResponse(Result::NotFound, "no such path"));
+  } else if (mStopping) {
+    aRespond(ErrorResponse(Result::Stopping, "the gateway is stopping"));
+  } else if (mVersion == 0) {
+    aRespond(ErrorResponse(Result::NoConfiguration, "no routing document is known yet"));
+  } else {
+    aRespond({ 200, "{}" });
+  }
+}
+
+void
+Gateway::OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply)
+{
+  const TimePoint now = SteadyNow();
+  if (mHeardAt + kCoordinatorSilence < now) {
+    mReturnedAt = now;
+  }
+  mHeardAt = now;
+  bool changed = false;
+  for (const rpc::Record& message : aReply.records()) {
+    auto record = FromMessage(message);
+    if (!record) {
+      LogEvent(Event::AnnouncementRejected,
+               { { "coordinator", aIp }, { "reason", record.error().mMessage } });
+      continue;
+    }
+    const Duration idle = std::chrono::milliseconds(message.idle_ms());
+    changed |= ApplyRecord(mDirectory, *record, idle, now) == AnnounceOutcome::Changed;
+  }
+  VouchRegistrar(mDirectory, aIp, aReply.self().incarnation(), now);
+  for (const rpc::FleetHost& host : aReply.coordinators()) {
+    mClient->AddCoordinator(host.ip());
+  }
+  mGatewayCounts[aIp] = aReply.gateways();
+  std::uint32_t gateways = 1;
+  for (const auto& [ip, count] : mGatewayCounts) {
+    gateways = std::max(gateways, count);
+  }
+  mRelay.SetGateways(gateways);
+  if (changed) {
+    PublishUpstreams();
+  }
+  Adopt(aReply);
+}
+
+void
+Gateway::Adopt(const rpc::FleetSyncReply& aReply)
+{
+  if (aReply.document_version() <= mVersion || aReply.document().empty()) {
+    return;
+  }
+  // A coordinator that has lost its group may hold an old document. It is good enough only while
+  // nothing newer was ever known, and then the group is asked again.
+  if (mVersion == 0 && !aReply.current()) {
+    return;
+  }
+  auto document = mDialect.mDecodeDocument(aReply.document());
+  if (!document) {
+    LogEvent(Event::ConfigurationNotAdopted,
+             { { "version", aReply.document_version() }, { "reason", document.error().mMessage } });
+    return;
+  }
+  mVersion = aReply.document_version();
+  mRelay.SetRouting(std::make_shared<RoutingTable>(*std::move(document)));
+  mClient->SetDocumentVersion(mVersion);
+  LogEvent(Event::DocumentAdopted,
+           { { "version", mVersion }, { "coordinator", aReply.self().ip() } });
+  if (!mSelf.mServing && !mStopping) {
+    mSelf.mServing = true;
+    mClient->SetSelf(mSelf);
+  }
+}
+
+void
+Gateway::Expire()
+{
+  const TimePoint now = SteadyNow();
+  if (mHeardAt + kCoordinatorSilence < now || mReturnedAt + kReturnGrace > now) {
+    return;
+  }
+  const std::vector<UpstreamInfo> expired = ExpireLeases(mDirectory, now);
+  for (const UpstreamInfo& info : expired) {
+    LogEvent(Event::UpstreamExpired, { { "upstream", info.mId }, { "service", info.mService } });
+  }
+  if (!expired.empty()) {
+    PublishUpstreams();
+  }
+}
+
+void
+Gateway::PublishUpstreams()
+{
+  TakeChanges(mDirectory);
+  mRelay.SetUpstreams(ListUpstreams(mDirectory));
+}
+
+void
+Gateway::BeginStop()
+{
+  if (mStopping) {
+    return;
+  }
+  LogEvent(Event::ProcessStopping,
+           { { "host", mSettings.mHost }, { "open", mRelay.OpenRequests() } });
+  const TimePoint now = SteadyNow();
+  const Duration usable = mSettings.mStopGrace - kStopReserve;
+  mStopping = true;
+  mStopListening = now + std::chrono::duration_cast<Duration>(usable * kAcceptShare);
+  mStopAt = now + usable;
+  mSelf.mServing = false;
+  mClient->SetSelf(mSelf);
+  mRelay.BeginStop();
+  mLoop.AddPeriodic(kStopCheck, [this] { CheckStopped(); });
+}
+
+void
+Gateway::CheckStopped()
+{
+  const TimePoint now = SteadyNow();
+  if (now < mStopListening) {
+    return;
+  }
+  mCallers->StopListening();
+  if (mCallers->OpenRequests() == 0 || now >= mStopAt) {
+    mLoop.Stop();
+  }
+}
+
+} // namespace
+
+void
+ReadGatewaySettings(SettingsReader& aReader, GatewaySettings& aSettings)
+{
+  constexpr std::int64_t kMaxPort = 65'535;
+  constexpr double kMaxFixed = 1e6;
+  aReader.Text("host", Presence::Required, 1, 64, aSettings.mHost);
+  aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
+  aReader.Address("caller_address", Presence::Required, aSettings.mCallerAddress);
+  aReader.Address("ready_address", Presence::Required, aSettings.mReadyAddress);
+  aReader.Integer("rpc_port", Presence::Required, 1, kMaxPort, aSettings.mRpcPort);
+  aReader.AddressList("seeds", Presence::Required, aSettings.mSeeds);
+  aReader.Number("extra_sends.ratio", Presence::Optional, 0, 1, aSettings.mExtraSends.mRatio);
+  aReader.Time("extra_sends.window",
+               Presence::Optional,
+               std::chrono::seconds(1),
+               std::chrono::minutes(10),
+               aSettings.mExtraSends.mWindow);
+  aReader.Number(
+    "extra_sends.fixed", Presence::Optional, 0, kMaxFixed, aSettings.mExtraSends.mFixed);
+  aReader.Time("stop_grace",
+               Presence::Optional,
+               std::chrono::seconds(1),
+               std::chrono::minutes(10),
+               aSettings.mStopGrace);
+  aReader.Integer("max_connections", Presence::Optional, 10, 20'000, aSettings.mMaxConnections);
+  ReadRpcSecurity(aReader, aSettings.mSecurity);
+  ReadLogSettings(aReader, aSettings.mLogLevel);
+}
+
+int
+RunGateway(const GatewaySettings& aSettings, const Dialect& aDialect)
+{
+  BlockStopSignals();
+  Loop loop;
+  Gateway gateway(loop, aSettings, aDialect);
+  HandleStopSignals(loop, [&gateway] { gateway.BeginStop(); });
+  StartLogger("apricot-gateway", aSettings.mLogLevel);
+  const auto started = gateway.Start();
+  if (started) {
+    LogEvent(Event::ProcessStarted, { { "host", aSettings.mHost } });
+    loop.Run();
+    LogEvent(Event::ProcessStopped, { { "host", aSettings.mHost } });
+  } else {
+    LogEvent(Event::StartFailed, { { "reason", started.error().mMessage } });
+  }
+  StopLogger();
+  return started ? kExitOk : kExitFailure;
+}
+
+} // namespace apricotyard
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -7,6 +7,7 @@
 
 #include <curl/curl.h>
 #include <fmt/format.h>
+#include <strings.h>
 #include <sys/epoll.h>
 
 namespace apricotyard {
@@ -18,6 +19,8 @@
 constexpr std::size_t kMaxPooledHandles = 1024;
 // The part of a transfer's time that may be spent on a new connection.
 constexpr int kConnectTimeShare = 2;
+// Longest time for a new connection; a handshake takes tens of milliseconds at most.
+constexpr long kMaxConnectMillis = 1000;
 
 struct Transfer
 {
@@ -72,7 +75,8 @@
 {
   auto* const transfer = static_cast<Transfer*>(aClosure);
   const std::size_t bytes = aSize * aCount;
-  if (!transfer->mRequest.mExpectedHeader.mName.empty() && !transfer->mExpectedSeen) {
+  if (!transfer->mRequest.mExpectedHeader.mName.empty() && !transfer->mExpectedSeen &&
+      !transfer->mRequest.mExpectedOptional) {
     transfer->mCrossed = true;
     return 0;
   }
@@ -89,11 +93,18 @@
 {
   auto* const transfer = static_cast<Transfer*>(aClosure);
   const std::string_view line(aData, aSize * aCount);
+  // An interim response came before the final one; its headers do not count.
+  if (line.starts_with("HTTP/")) {
+    transfer->mReply.mHeaders.clear();
+    transfer->mReply.mHeaderList.clear();
+    return line.size();
+  }
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) {
     return line.size();
   }
   std::string name(line.substr(0, colon));
+  const std::string spelling = name;
   std::transform(name.begin(), name.end(), name.begin(), [](unsigned char aC) {
     return static_cast<char>(std::tolower(aC));
   });
@@ -106,6 +117,7 @@
     }
     transfer->mExpectedSeen = true;
   }
+  transfer->mReply.mHeaderList.push_back({ spelling, value });
   transfer->mReply.mHeaders[std::move(name)] = std::move(value);
   return line.size();
 }
@@ -197,7 +209,8 @@
     return TransferEnd::TooLarge;
   }
   if (aCode == CURLE_OK) {
-    const bool expected = !aTransfer.mRequest.mExpectedHeader.mName.empty();
+    const bool expected = !aTransfer.mRequest.mExpectedHeader.mName.empty() &&
+                          !aTransfer.mRequest.mExpectedOptional;
     return expected && !aTransfer.mExpectedSeen ? TransferEnd::Crossed : TransferEnd::Complete;
   }
   // A second connection, refused or not, does not undo what the first one may have carried.
@@ -224,7 +237,7 @@
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, millis);
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::max<long>(1, millis / kConnectTimeShare));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::clamp<long>(millis / kConnectTimeShare, 1, kMaxConnectMillis));
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.mFreshConnection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
@@ -236,19 +249,43 @@
   if (!aState.mSourceIp.empty()) {
     curl_easy_setopt(easy, CURLOPT_INTERFACE, ("host!" + aState.mSourceIp).c_str());
   }
-  if (request.mMethod != "GET") {
+  if (request.mForwarded) {
+    curl_easy_setopt(
+      easy,
+      CURLOPT_URL,
+      fmt::format("http://{}/", FormatSocketAddress(request.mAddress)).c_str());
+    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request.mPath.c_str());
+    aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, "Accept:");
+  }
+  if (request.mMethod == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  } else if (request.mMethod != "GET" || !request.mBody.empty()) {
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.mMethod.c_str());
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.mBody.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.mBody.data());
   }
   for (const HttpHeader& header : request.mHeaders) {
-    aTransfer.mHeaderList = curl_slist_append(
-      aTransfer.mHeaderList, fmt::format("{}: {}", header.mName, header.mValue).c_str());
+    // libcurl takes a name with a colon and no value as an order to leave the header out.
+    const std::string line = header.mValue.empty()
+                               ? header.mName + ";"
+                               : fmt::format("{}: {}", header.mName, header.mValue);
+    aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, line.c_str());
   }
   // Without this header libcurl waits for a "100 Continue" before a large body.
   aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, "Expect:");
-  aTransfer.mHeaderList =
-    curl_slist_append(aTransfer.mHeaderList, "Content-Type: application/json");
+  if (!request.mForwarded) {
+    aTransfer.mHeaderList =
+      curl_slist_append(aTransfer.mHeaderList, "Content-Type: application/json");
+  } else if (!request.mBody.empty() || request.mMethod != "GET") {
+    // libcurl adds this header to a body by itself; a caller's own one stands in mHeaders.
+    const bool hasType = std::any_of(
+      request.mHeaders.begin(), request.mHeaders.end(), [](const HttpHeader& aHeader) {
+        return strcasecmp(aHeader.mName.c_str(), "content-type") == 0;
+      });
+    if (!hasType) {
+      aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, "Content-Type:");
+    }
+  }
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aTransfer.mHeaderList);
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -25,6 +25,11 @@
   // If set, the reply must carry this header with this value; otherwise the reply belongs to
   // another request and its connection is closed.
   HttpHeader mExpectedHeader;
+  // A reply without the expected header is accepted; only another value makes it a crossed one.
+  bool mExpectedOptional = false;
+  // The request is passed on for a caller: the target goes out as it is in mPath and nothing is
+  // added to mHeaders.
+  bool mForwarded = false;
   std::size_t mMaxReply = std::size_t{ 4 } * 1024 * 1024;
 };
 
@@ -47,6 +52,8 @@
   std::string mBody;
   // Header names are in lower case.
   std::map<std::string, std::string, std::less<>> mHeaders;
+  // Every header in its order and spelling.
+  std::vector<HttpHeader> mHeaderList;
   bool mReusedConnection = false;
   std::string mMessage;
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstring>
 #include <set>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
@@ -98,6 +99,9 @@
   int mListenFd = -1;
   bool mResumed = false;
   std::size_t mOpen = 0;
+  bool mForwarding = false;
+  // Targets of the requests whose headers are still being read.
+  std::map<MHD_Connection*, std::string> mTargets;
   // The library must not be stopped while connections are suspended.
   std::set<std::shared_ptr<HttpResponder::Exchange>> mSuspended;
 };
@@ -114,16 +118,26 @@
   bool mAnswered = false;
   bool mSuspended = false;
   bool mClosed = false;
+  // The caller's socket while the loop watches it for a close; -1 otherwise. The library does not
+  // watch a suspended connection.
+  int mWatchedFd = -1;
+  std::function<void()> mOnCallerGone;
 };
 
 namespace {
 
 using Exchange = HttpResponder::Exchange;
 
+void
+WatchCaller(const std::shared_ptr<Exchange>& aExchange);
+
 MHD_Result
 CollectHeader(void* aClosure, MHD_ValueKind, const char* aKey, const char* aValue)
 {
   auto* const exchange = static_cast<Exchange*>(aClosure);
+  if (exchange->mServer->mForwarding) {
+    exchange->mRequest.mHeaderList.push_back({ aKey, aValue != nullptr ? aValue : "" });
+  }
   const bool added =
     exchange->mRequest.mHeaders.emplace(LowerCase(aKey), aValue != nullptr ? aValue : "").second;
   exchange->mDuplicateHeader |= !added;
@@ -143,7 +157,9 @@
 {
   MHD_Response* const response = MHD_create_response_from_buffer(
     aResponse.mBody.size(), const_cast<char*>(aResponse.mBody.data()), MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header(response, "Content-Type", aResponse.mContentType.c_str());
+  if (!aResponse.mContentType.empty()) {
+    MHD_add_response_header(response, "Content-Type", aResponse.mContentType.c_str());
+  }
   for (const HttpHeader& header : aResponse.mHeaders) {
     MHD_add_response_header(response, header.mName.c_str(), header.mValue.c_str());
   }
@@ -175,6 +191,9 @@
   added.mConnection = aConnection;
   added.mRequest.mMethod = aMethod;
   added.mRequest.mPath = aUrl;
+  if (const auto target = aServer->mTargets.extract(aConnection); !target.empty()) {
+    added.mRequest.mTarget = target.mapped();
+  }
   MHD_get_connection_values(aConnection, MHD_HEADER_KIND, CollectHeader, &added);
   MHD_get_connection_values(aConnection, MHD_GET_ARGUMENT_KIND, CollectArgument, &added);
   const MHD_ConnectionInfo* const info =
@@ -201,13 +220,69 @@
   aExchange->mDispatched = true;
   if (aExchange->mTooLarge) {
     RejectAndLog(*aExchange, Result::BodyTooLarge, "the body exceeds the limit");
-  } else if (aExchange->mDuplicateHeader) {
+  } else if (aExchange->mDuplicateHeader && !aExchange->mServer->mForwarding) {
     RejectAndLog(*aExchange, Result::BadRequest, "a header is given twice");
   } else {
     aExchange->mServer->mHandler(std::move(aExchange->mRequest), HttpResponder(aExchange));
   }
 }
 
+void
+StopWatching(Exchange& aExchange)
+{
+  if (aExchange.mWatchedFd >= 0) {
+    aExchange.mServer->mLoop.RemoveFd(aExchange.mWatchedFd);
+    aExchange.mWatchedFd = -1;
+  }
+}
+
+void
+Answer(Exchange& aExchange, HttpResponse aResponse)
+{
+  if (aExchange.mAnswered) {
+    return;
+  }
+  aExchange.mAnswered = true;
+  aExchange.mOnCallerGone = nullptr;
+  aExchange.mResponse = std::move(aResponse);
+  if (aExchange.mSuspended && !aExchange.mClosed) {
+    StopWatching(aExchange);
+    aExchange.mSuspended = false;
+    aExchange.mServer->mResumed = true;
+    MHD_resume_connection(aExchange.mConnection);
+    std::erase_if(aExchange.mServer->mSuspended,
+                  [&aExchange](const auto& aKept) { return aKept.get() == &aExchange; });
+  }
+}
+
+// The caller is told nothing any more; the answer only lets the library close the connection.
+void
+HandleCallerGone(const std::shared_ptr<Exchange>& aExchange)
+{
+  const auto handler = std::exchange(aExchange->mOnCallerGone, nullptr);
+  Answer(*aExchange, ErrorResponse(Result::Internal, "the caller has left"));
+  if (handler) {
+    handler();
+  }
+}
+
+void
+WatchCaller(const std::shared_ptr<Exchange>& aExchange)
+{
+  const MHD_ConnectionInfo* const info =
+    MHD_get_connection_info(aExchange->mConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info == nullptr || !aExchange->mSuspended) {
+    return;
+  }
+  aExchange->mWatchedFd = info->connect_fd;
+  aExchange->mServer->mLoop.AddFd(
+    aExchange->mWatchedFd, EPOLLRDHUP, [weak = std::weak_ptr<Exchange>(aExchange)](std::uint32_t) {
+      if (const auto exchange = weak.lock()) {
+        HandleCallerGone(exchange);
+      }
+    });
+}
+
 MHD_Result
 HandleAccess(void* aClosure,
              MHD_Connection* aConnection,
@@ -247,9 +322,35 @@
   exchange->mSuspended = true;
   server->mSuspended.insert(exchange);
   MHD_suspend_connection(aConnection);
+  WatchCaller(exchange);
   return MHD_YES;
 }
 
+void*
+KeepTarget(void* aClosure, const char* aTarget, MHD_Connection* aConnection)
+{
+  (*static_cast<std::shared_ptr<HttpServer::State>*>(aClosure))->mTargets[aConnection] = aTarget;
+  return nullptr;
+}
+
+void
+HandleConnection(void* aClosure,
+                 MHD_Connection* aConnection,
+                 void** /*aSocket*/,
+                 MHD_ConnectionNotificationCode aCode)
+{
+  if (aCode == MHD_CONNECTION_NOTIFY_CLOSED) {
+    (*static_cast<std::shared_ptr<HttpServer::State>*>(aClosure))->mTargets.erase(aConnection);
+  }
+}
+
+// A proxy passes the target on as it came, so nothing is decoded.
+std::size_t
+KeepEscapes(void* /*aClosure*/, MHD_Connection* /*aConnection*/, char* aText)
+{
+  return std::strlen(aText);
+}
+
 void
 HandleCompleted(void* aClosure,
                 MHD_Connection* /*aConnection*/,
@@ -282,27 +383,6 @@
   return found == mArguments.end() ? std::string_view() : std::string_view(found->second);
 }
 
-namespace {
-
-void
-Answer(Exchange& aExchange, HttpResponse aResponse)
-{
-  if (aExchange.mAnswered) {
-    return;
-  }
-  aExchange.mAnswered = true;
-  aExchange.mResponse = std::move(aResponse);
-  if (aExchange.mSuspended && !aExchange.mClosed) {
-    aExchange.mSuspended = false;
-    aExchange.mServer->mResumed = true;
-    MHD_resume_connection(aExchange.mConnection);
-    std::erase_if(aExchange.mServer->mSuspended,
-                  [&aExchange](const auto& aKept) { return aKept.get() == &aExchange; });
-  }
-}
-
-} // namespace
-
 HttpResponder::HttpResponder(const std::shared_ptr<Exchange>& aExchange)
   : mExchange(aExchange.get(), [keep = aExchange](Exchange*) {
     Answer(*keep, ErrorResponse(Result::Internal, "the request was abandoned"));
@@ -316,6 +396,14 @@
   Answer(*mExchange, std::move(aResponse));
 }
 
+void
+HttpResponder::OnCallerGone(std::function<void()> aHandler) const
+{
+  if (!mExchange->mAnswered) {
+    mExchange->mOnCallerGone = std::move(aHandler);
+  }
+}
+
 HttpServer::HttpServer(std::shared_ptr<State> aState)
   : mState(std::move(aState))
 {
@@ -386,6 +474,13 @@
   return *this;
 }
 
+HttpServer::Builder&
+HttpServer::Builder::ForForwarding()
+{
+  mForwarding = true;
+  return *this;
+}
+
 Expected<std::unique_ptr<HttpServer>>
 HttpServer::Builder::Start()
 {
@@ -397,11 +492,25 @@
   }
   auto state = std::make_shared<State>(State{ mLoop, std::move(mHandler), mMaxBody });
   state->mListenFd = listener;
+  state->mForwarding = mForwarding;
   // The library keeps a pointer to this shared pointer; the server owns it through the deleter of
   // the prepare handler below, which lives as long as the loop.
   auto closure = std::make_shared<std::shared_ptr<State>>(state);
   const unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
   const unsigned timeout = static_cast<unsigned>(mIdleTimeout.count());
+  std::vector<MHD_OptionItem> options;
+  if (mForwarding) {
+    options.push_back({ MHD_OPTION_UNESCAPE_CALLBACK,
+                        reinterpret_cast<std::intptr_t>(&KeepEscapes),
+                        closure.get() });
+    options.push_back({ MHD_OPTION_URI_LOG_CALLBACK,
+                        reinterpret_cast<std::intptr_t>(&KeepTarget),
+                        closure.get() });
+    options.push_back({ MHD_OPTION_NOTIFY_CONNECTION,
+                        reinterpret_cast<std::intptr_t>(&HandleConnection),
+                        closure.get() });
+  }
+  options.push_back({ MHD_OPTION_END, 0, nullptr });
   state->mDaemon = MHD_start_daemon(flags,
                                     0,
                                     nullptr,
@@ -419,6 +528,8 @@
                                     timeout,
                                     MHD_OPTION_CONNECTION_MEMORY_LIMIT,
                                     kConnectionMemory,
+                                    MHD_OPTION_ARRAY,
+                                    options.data(),
                                     MHD_OPTION_END);
   if (state->mDaemon == nullptr) {
     close(listener);
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -29,6 +29,10 @@
   std::map<std::string, std::string, std::less<>> mArguments;
   std::string mBody;
   std::string mPeer;
+  // Only with Builder::ForForwarding: the request target as it was received, and every header in
+  // its order and spelling.
+  std::string mTarget;
+  std::vector<HttpHeader> mHeaderList;
 
   // The value of a header, given in lower case, or an empty text.
   std::string_view Header(std::string_view aName) const;
@@ -39,6 +43,7 @@
 {
   int mStatus = 200;
   std::string mBody;
+  // Empty for a response without this header.
   std::string mContentType = "application/json";
   std::vector<HttpHeader> mHeaders;
 };
@@ -52,6 +57,9 @@
   struct Exchange;
   explicit HttpResponder(const std::shared_ptr<Exchange>& aExchange);
   void operator()(HttpResponse aResponse) const;
+  // Calls aHandler once if the caller closes its connection before the response is given. The
+  // responder must not be used after that; its further calls have no effect.
+  void OnCallerGone(std::function<void()> aHandler) const;
 
 private:
   std::shared_ptr<Exchange> mExchange;
@@ -91,6 +99,9 @@
   Builder& MaxConnections(unsigned aCount);
   // A connection without progress for this time is closed.
   Builder& IdleTimeout(std::chrono::seconds aTimeout);
+  // Keeps what a proxy must pass on unchanged: the raw target and all headers, repeated ones
+  // included. Without this call a repeated header is refused.
+  Builder& ForForwarding();
   // Starts to listen. Fails with Internal if the address cannot be bound. The server must be
   // destroyed before the loop.
   Expected<std::unique_ptr<HttpServer>> Start();
@@ -102,6 +113,7 @@
   std::size_t mMaxBody = std::size_t{ 1024 } * 1024;
   unsigned mMaxConnections = 2000;
   std::chrono::seconds mIdleTimeout{ 60 };
+  bool mForwarding = false;
 };
 
 // A JSON body {"result": {"code", "name", "message"}} with the status of aResult.
--- /dev/null
+++ b/src/placement.cpp
@@ -0,0 +1,107 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace apricotyard {
+
+namespace {
+
+// Penalty in microseconds for a replica that seems to pause or is avoided: more than any latency,
+// so that it is the last resort.
+constexpr double kPausedPenaltyUs = 1e7;
+constexpr double kAvoidedPenaltyUs = 1e8;
+// Share of the expected latency by which equal replicas are told apart at random, so that gateways
+// do not all choose the same one.
+constexpr double kJitter = 0.25;
+// Latencies of a replica are kept as multiples of the usual one, scaled to this, because one replica
+// serves several kinds of request.
+constexpr double kReferenceUs = 10'000;
+
+double
+CostUs(const ReplicaView& aReplica,
+       const PlacementLimits& aLimits,
+       Duration aUsual,
+       TimePoint aNow,
+       Rng& aRng)
+{
+  const auto usual = static_cast<double>(std::max<std::int64_t>(aUsual.count(), 1));
+  const double latency =
+    ExpectedLatencyUs(aReplica.mLatency, kReferenceUs, aNow) / kReferenceUs * usual;
+  // A request that waits for a slot takes as long as those before it; a replica's slots work at the
+  // same time.
+  const double slots = std::max<std::uint32_t>(aReplica.mInfo.mSlots, 1);
+  const double waiting = static_cast<double>(aReplica.mRunning.size()) / slots;
+  double cost = latency * (1.0 + waiting);
+  cost += latency * kJitter * std::uniform_real_distribution<double>(0.0, 1.0)(aRng);
+  if (aReplica.mInfo.mDataCentre != aLimits.mDataCentre) {
+    cost += static_cast<double>(aLimits.mRemoteCost.count());
+  }
+  if (SeemsPaused(aReplica, aUsual, aNow)) {
+    cost += kPausedPenaltyUs;
+  }
+  if (aReplica.mAvoidUntil > aNow) {
+    cost += kAvoidedPenaltyUs;
+  }
+  return cost;
+}
+
+} // namespace
+
+bool
+SeemsPaused(const ReplicaView& aReplica, Duration aUsual, TimePoint aNow)
+{
+  if (aReplica.mRunning.empty()) {
+    return false;
+  }
+  const Duration limit =
+    std::max(kMinPause, std::chrono::duration_cast<Duration>(aUsual * kPauseFactor));
+  return *aReplica.mRunning.begin() + limit < aNow;
+}
+
+ReplicaView*
+ChooseReplica(std::span<ReplicaView* const> aReplicas,
+              const std::set<std::string>& aTried,
+              const PlacementLimits& aLimits,
+              Duration aUsual,
+              TimePoint aNow,
+              Rng& aRng)
+{
+  ReplicaView* best = nullptr;
+  double bestCost = 0;
+  for (ReplicaView* const replica : aReplicas) {
+    if (replica->mInfo.mState != UpstreamState::Ready || replica->mMisplaced ||
+        aTried.contains(replica->mInfo.mId) ||
+        replica->mRunning.size() >= aLimits.mMaxRunning) {
+      continue;
+    }
+    const double cost = CostUs(*replica, aLimits, aUsual, aNow, aRng);
+    if (best == nullptr || cost < bestCost) {
+      best = replica;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+void
+RecordSuccess(ReplicaView& aReplica, Duration aLatency, Duration aUsual, TimePoint aNow)
+{
+  aReplica.mFailuresInARow = 0;
+  aReplica.mAvoidUntil = {};
+  const double usual = static_cast<double>(std::max<std::int64_t>(aUsual.count(), 1));
+  const double scaled = static_cast<double>(aLatency.count()) / usual * kReferenceUs;
+  RecordReplicaLatency(aReplica.mLatency, Duration(std::llround(scaled)), aNow);
+}
+
+void
+RecordFailure(ReplicaView& aReplica, TimePoint aNow)
+{
+  constexpr std::uint32_t kMaxDoublings = 8;
+  const std::uint32_t doublings = std::min(aReplica.mFailuresInARow, kMaxDoublings);
+  const Duration avoid = std::min(kLongestAvoid, kFirstAvoid * (1 << doublings));
+  ++aReplica.mFailuresInARow;
+  aReplica.mAvoidUntil = std::max(aReplica.mAvoidUntil, aNow + avoid);
+}
+
+} // namespace apricotyard
--- /dev/null
+++ b/src/placement.h
@@ -0,0 +1,78 @@
+// Which replica of a service gets a request. Pure; not thread-safe.
+//
+// The load that this answers: services of a few replicas with few slots each, shared by several
+// gateways that do not talk to each other about single requests. Replicas differ in speed, pause
+// for short times and may hang or fail while they look healthy, so a replica is judged only by what
+// this gateway sees of it.
+#ifndef APRICOTYARD_PLACEMENT_H
+#define APRICOTYARD_PLACEMENT_H
+
+#include "latency.h"
+#include "types.h"
+
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace apricotyard {
+
+// What this gateway knows of one replica.
+struct ReplicaView
+{
+  UpstreamInfo mInfo;
+  // Times at which the requests that run there were sent.
+  std::multiset<TimePoint> mRunning;
+  ReplicaLatency mLatency;
+  // Failures without a success in between.
+  std::uint32_t mFailuresInARow = 0;
+  // Until then it is used only if no other replica is left.
+  TimePoint mAvoidUntil{};
+  // Another upstream answered at its address, so it is gone; its record has not ended yet.
+  bool mMisplaced = false;
+};
+
+struct PlacementLimits
+{
+  // Data centre of this gateway.
+  std::string mDataCentre;
+  // Added to the cost of a replica elsewhere for the use of the link. The time on the way is part
+  // of its measured latency.
+  Duration mRemoteCost = std::chrono::milliseconds(2);
+  // Requests that this gateway may run at one replica.
+  std::size_t mMaxRunning = 4;
+};
+
+// A replica whose oldest request runs longer than this many times the usual latency is taken to
+// pause: work that is sent there waits as well.
+inline constexpr double kPauseFactor = 2.5;
+// Lower bound of that, so that jitter of a fast service does not count.
+inline constexpr Duration kMinPause = std::chrono::milliseconds(25);
+// First time that a failing replica is avoided; doubles with each failure in a row.
+inline constexpr Duration kFirstAvoid = std::chrono::milliseconds(250);
+inline constexpr Duration kLongestAvoid = std::chrono::seconds(4);
+
+// True if the replica's oldest request is so late that the replica seems to stand still.
+bool
+SeemsPaused(const ReplicaView& aReplica, Duration aUsual, TimePoint aNow);
+
+// The best replica for one more request, or null if every one is excluded, leaving or full. aUsual
+// is the usual latency of such a request. Replicas in aTried are excluded.
+ReplicaView*
+ChooseReplica(std::span<ReplicaView* const> aReplicas,
+              const std::set<std::string>& aTried,
+              const PlacementLimits& aLimits,
+              Duration aUsual,
+              TimePoint aNow,
+              Rng& aRng);
+
+// Records how a request at the replica ended; aUsual is the usual latency of such a request.
+void
+RecordSuccess(ReplicaView& aReplica, Duration aLatency, Duration aUsual, TimePoint aNow);
+void
+RecordFailure(ReplicaView& aReplica, TimePoint aNow);
+
+} // namespace apricotyard
+
+#endif
--- /dev/null
+++ b/src/routing.cpp
@@ -0,0 +1,114 @@
+#include "routing.h"
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace apricotyard {
+
+namespace {
+
+std::string
+LowerHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aC) {
+    return static_cast<char>(std::tolower(aC));
+  });
+  return host;
+}
+
+Expected<void>
+CheckRoute(const Route& aRoute, const std::set<std::string>& aServices)
+{
+  const auto invalid = [&aRoute](std::string_view aProblem) {
+    return Fail(Result::InvalidDocument, fmt::format("route '{}': {}", aRoute.mName, aProblem));
+  };
+  const std::string& prefix = aRoute.mPathPrefix;
+  if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
+    return invalid("the path prefix must begin and end with a slash");
+  }
+  if (aRoute.mTimeout <= Duration::zero()) {
+    return invalid("the timeout is 0");
+  }
+  if (aRoute.mServices.empty()) {
+    return invalid("it names no service");
+  }
+  double weights = 0;
+  for (const WeightedService& service : aRoute.mServices) {
+    if (!aServices.contains(service.mService)) {
+      return invalid(fmt::format("unknown service '{}'", service.mService));
+    }
+    if (service.mWeight < 0) {
+      return invalid("a weight is negative");
+    }
+    weights += service.mWeight;
+  }
+  if (weights <= 0) {
+    return invalid("the weights add up to 0");
+  }
+  return {};
+}
+
+} // namespace
+
+Expected<void>
+CheckRouting(const RoutingDocument& aDocument)
+{
+  std::set<std::string> services;
+  for (const RoutedService& service : aDocument.mServices) {
+    services.insert(service.mName);
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : aDocument.mRoutes) {
+    if (auto checked = CheckRoute(route, services); !checked) {
+      return checked;
+    }
+    if (!places.emplace(LowerHost(route.mHost), route.mPathPrefix).second) {
+      return Fail(
+        Result::InvalidDocument,
+        fmt::format("two routes share host '{}' and prefix '{}'", route.mHost, route.mPathPrefix));
+    }
+  }
+  return {};
+}
+
+RoutingTable::RoutingTable(RoutingDocument aDocument)
+  : mDocument(std::move(aDocument))
+{
+  for (std::size_t i = 0; i < mDocument.mRoutes.size(); ++i) {
+    const Route& route = mDocument.mRoutes[i];
+    mByHost[LowerHost(route.mHost)].emplace(route.mPathPrefix, i);
+  }
+  for (std::size_t i = 0; i < mDocument.mServices.size(); ++i) {
+    mServices.emplace(mDocument.mServices[i].mName, i);
+  }
+}
+
+const Route*
+RoutingTable::Find(std::string_view aHost, std::string_view aPath) const
+{
+  const auto host = mByHost.find(LowerHost(aHost));
+  if (host == mByHost.end()) {
+    return nullptr;
+  }
+  // Tries each prefix of the path that ends with a slash, the longest first.
+  for (std::size_t end = aPath.rfind('/'); end != std::string_view::npos;
+       end = end == 0 ? std::string_view::npos : aPath.rfind('/', end - 1)) {
+    const auto found = host->second.find(aPath.substr(0, end + 1));
+    if (found != host->second.end()) {
+      return &mDocument.mRoutes[found->second];
+    }
+  }
+  return nullptr;
+}
+
+const RoutedService*
+RoutingTable::FindService(std::string_view aName) const
+{
+  const auto found = mServices.find(aName);
+  return found == mServices.end() ? nullptr : &mDocument.mServices[found->second];
+}
+
+} // namespace apricotyard
