Clamp latency samples in placement; log single attempts at level debug

Cause: one pause of 100 ms made a local replica look slow for seconds, so half of the sends left the data centre. Change: a sample counts as at most 3 times the usual latency.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -17,6 +17,9 @@
 // Latencies of a replica are kept as multiples of the usual one, scaled to this, because one replica
 // serves several kinds of request.
 constexpr double kReferenceUs = 10'000;
+// A sample counts as at most this many times the usual latency. A replica that paused once is as
+// fast as before after the pause; one that is slow throughout still shows.
+constexpr double kMaxMultiple = 3.0;
 
 double
 CostUs(const ReplicaView& aReplica,
@@ -90,7 +93,8 @@
   aReplica.mFailuresInARow = 0;
   aReplica.mAvoidUntil = {};
   const double usual = static_cast<double>(std::max<std::int64_t>(aUsual.count(), 1));
-  const double scaled = static_cast<double>(aLatency.count()) / usual * kReferenceUs;
+  const double multiple = std::min(kMaxMultiple, static_cast<double>(aLatency.count()) / usual);
+  const double scaled = multiple * kReferenceUs;
   RecordReplicaLatency(aReplica.mLatency, Duration(std::llround(scaled)), aNow);
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -535,6 +535,16 @@
     if (aAttempt.mFirst) {
       RecordLatency(history, took, now);
     }
+    if (LogEnabled(LogLevel::Debug)) {
+      LogEvent(Event::AttemptAnswered,
+               { { "request", aAttempt.mOwner->mId },
+                 { "upstream", aAttempt.mUpstream },
+                 { "data_centre", replica->second->mInfo.mDataCentre },
+                 { "running", replica->second->mRunning.size() },
+                 { "first", aAttempt.mFirst },
+                 { "took_us", took.count() },
+                 { "reused", aReply.mReusedConnection } });
+    }
     return;
   }
   RecordFailure(*replica->second, now);
@@ -779,7 +789,7 @@
   const bool late = aRelayed.mRoute != nullptr && now > aRelayed.mObjectiveAt;
   const bool plain = aResponse.mStatus < kMultipleChoices && !late &&
                      answered == aRelayed.mParts.size() && sends == aRelayed.mParts.size();
-  if (plain && ++mAnswers % kLogOneIn != 0) {
+  if (plain && ++mAnswers % kLogOneIn != 0 && !LogEnabled(LogLevel::Debug)) {
     return;
   }
   LogEvent(Event::RequestAnswered,
