Reuse connections for requests that run at most once; fetch each document once, packed

Change: the guard against libcurl's own repeat already holds for reused connections, so they are reused within the replica's Keep-Alive time; one link at a time fetches the document, which is stored and sent packed. Callers get the gateways of their own data centre, if any.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -345,8 +345,8 @@
   reply.set_current(status.mLeading || !status.mLeader.empty());
   const StoredDocument& document = mState.Current();
   reply.set_document_version(document.mVersion);
-  if (document.mVersion > aRequest.document_version()) {
-    reply.set_document(document.mBytes);
+  if (aRequest.wants_document() && document.mVersion > aRequest.document_version()) {
+    reply.set_document(mState.Packed());
   }
   const bool sameRun = aRequest.cursor_incarnation() == mSelf.mIncarnation;
   reply.set_cursor(mRegistry.mCursor);
--- a/src/document_state.h
+++ b/src/document_state.h
@@ -36,11 +36,14 @@
   // version in effect after it, as a decimal number.
   StateMachine Machine();
   const StoredDocument& Current() const { return mCurrent; }
+  // The current document as EncodeDocument gives it; empty before the first one.
+  const std::string& Packed() const { return mPacked; }
 
 private:
-  void Offer(StoredDocument aDocument);
+  void Offer(StoredDocument aDocument, std::string_view aPacked);
 
   StoredDocument mCurrent;
+  std::string mPacked;
   std::function<void()> mOnChange;
 };
 
--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -20,6 +20,8 @@
 // Calls without an answer after which the connection is replaced: it may have gone silent while
 // new ones work.
 constexpr int kSilentCalls = 2;
+// From the arrival of a document until the loop has applied it and raised the version.
+constexpr std::chrono::milliseconds kApplyTime{ 150 };
 constexpr int kReconnectMinMillis = 100;
 constexpr int kReconnectMaxMillis = 400;
 
@@ -41,6 +43,9 @@
   absl::Mutex mMutex;
   rpc::FleetHost mSelf;
   DocumentVersion mDocumentVersion = 0;
+  // The link that fetches the document, and until when the others leave it to it.
+  std::string mFetching;
+  absl::Time mFetchingUntil = absl::InfinitePast();
   // Raised to make every thread call at once.
   std::uint64_t mKick = 0;
   std::optional<rpc::FleetJoinRequest> mJoin;
@@ -80,10 +85,35 @@
     request.set_document_version(mShared.mDocumentVersion);
     request.set_cursor(mCursor);
     request.set_cursor_incarnation(mCursorIncarnation);
+    request.set_wants_document(MayFetch());
     mSeenKick = mShared.mKick;
     return request;
   }
 
+  // True if this link is to fetch the document. One link at a time does, so that it crosses the
+  // network once; the version is known from an earlier reply.
+  bool MayFetch()
+  {
+    mShared.mMutex.AssertHeld();
+    const absl::Time now = absl::Now();
+    if (mKnownVersion <= mShared.mDocumentVersion ||
+        (mShared.mFetchingUntil > now && mShared.mFetching != mAddress)) {
+      return false;
+    }
+    mShared.mFetching = mAddress;
+    mShared.mFetchingUntil = now + absl::FromChrono(kSyncTimeout);
+    return true;
+  }
+
+  // Learns the version that the coordinator holds; if it is newer, the document is fetched at once.
+  void NoteVersion(DocumentVersion aVersion)
+  {
+    absl::MutexLock lock(&mShared.mMutex);
+    mKnownVersion = aVersion;
+    mFetchNow = aVersion > mShared.mDocumentVersion &&
+                (mShared.mFetchingUntil <= absl::Now() || mShared.mFetching == mAddress);
+  }
+
   void Sync()
   {
     const rpc::FleetSyncRequest request = NextRequest();
@@ -100,6 +130,14 @@
     }
     mReachable = true;
     mFailures = 0;
+    const bool fetched = !reply.document().empty();
+    if (fetched) {
+      absl::MutexLock lock(&mShared.mMutex);
+      mShared.mFetchingUntil = absl::Now() + absl::FromChrono(kApplyTime);
+    }
+    if (mSettings.mFetchDocuments) {
+      NoteVersion(fetched ? 0 : reply.document_version());
+    }
     const std::uint64_t cursor = reply.cursor();
     const std::uint64_t incarnation = reply.self().incarnation();
     // A reply that the loop cannot take is asked for again.
@@ -145,8 +183,11 @@
   bool Pause()
   {
     absl::MutexLock lock(&mShared.mMutex);
-    const auto due = [this] { return mShared.mStopping || mShared.mKick != mSeenKick; };
+    const auto due = [this] {
+      return mShared.mStopping || mFetchNow || mShared.mKick != mSeenKick;
+    };
     mShared.mMutex.AwaitWithTimeout(absl::Condition(&due), absl::FromChrono(mSettings.mPause));
+    mFetchNow = false;
     return !mShared.mStopping;
   }
 
@@ -168,6 +209,9 @@
   std::uint64_t mCursorIncarnation = 0;
   std::uint64_t mSeenKick = 0;
   std::uint64_t mSeenJoin = 0;
+  // The version that the coordinator named last, unless it has just been fetched.
+  DocumentVersion mKnownVersion = 0;
+  bool mFetchNow = false;
   bool mReachable = false;
   int mFailures = 0;
   // Last, because it uses the members above.
--- a/src/fleet_client.h
+++ b/src/fleet_client.h
@@ -24,6 +24,8 @@
   std::uint16_t mRpcPort = 0;
   RpcSecurity mSecurity;
   Duration mPause = kFleetPause;
+  // Whether the replies are to bring the document; coordinators have it from their group.
+  bool mFetchDocuments = false;
 };
 
 // All methods only on the loop's thread.
--- a/src/fleet_registry.cpp
+++ b/src/fleet_registry.cpp
@@ -90,9 +90,13 @@
       gateways.push_back(&known.mHost);
     }
   }
-  std::stable_partition(gateways.begin(), gateways.end(), [&](const FleetHost* aHost) {
-    return aHost->mDataCentre == aDataCentre;
-  });
+  const auto local =
+    std::stable_partition(gateways.begin(), gateways.end(), [&](const FleetHost* aHost) {
+      return aHost->mDataCentre == aDataCentre;
+    });
+  if (local != gateways.begin()) {
+    gateways.erase(local, gateways.end());
+  }
   return gateways;
 }
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "cmdline.h"
 #include "discovery_node.h"
+#include "document_state.h"
 #include "fleet_client.h"
 #include "fleet_messages.h"
 #include "log.h"
@@ -99,6 +100,7 @@
   FleetClientSettings client;
   client.mRpcPort = static_cast<std::uint16_t>(mSettings.mRpcPort);
   client.mSecurity = mSettings.mSecurity;
+  client.mFetchDocuments = true;
   mClient = std::make_unique<FleetClient>(
     mLoop, client, [this](const std::string& aIp, const rpc::FleetSyncReply& aReply) {
       OnSync(aIp, aReply);
@@ -200,7 +202,9 @@
   if (mVersion == 0 && !aReply.current()) {
     return;
   }
-  auto document = mDialect.mDecodeDocument(aReply.document());
+  const auto stored = DecodeDocument(aReply.document());
+  auto document = stored ? mDialect.mDecodeDocument(stored->mBytes)
+                         : Expected<RoutingDocument>(tl::unexpected(stored.error()));
   if (!document) {
     LogEvent(Event::ConfigurationNotAdopted,
              { { "version", aReply.document_version() }, { "reason", document.error().mMessage } });
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -239,6 +239,7 @@
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, millis);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::clamp<long>(millis / kConnectTimeShare, 1, kMaxConnectMillis));
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.mFreshConnection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(request.mMaxIdle.count()));
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aTransfer.mError.data());
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -22,6 +22,8 @@
   // Set for requests that must not be repeated: libcurl repeats a request by itself when a reused
   // connection is closed before the first byte of the reply.
   bool mFreshConnection = false;
+  // A connection that was idle for longer is not reused; the server may be closing it.
+  std::chrono::seconds mMaxIdle{ 100 };
   // If set, the reply must carry this header with this value; otherwise the reply belongs to
   // another request and its connection is closed.
   HttpHeader mExpectedHeader;
--- a/src/placement.h
+++ b/src/placement.h
@@ -29,6 +29,8 @@
   std::uint32_t mFailuresInARow = 0;
   // Until then it is used only if no other replica is left.
   TimePoint mAvoidUntil{};
+  // How long it keeps an idle connection, as it said last.
+  std::chrono::seconds mKeepsIdle{ 30 };
   // Another upstream answered at its address, so it is gone; its record has not ended yet.
   bool mMisplaced = false;
 };
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <unordered_map>
 
 #include <fmt/format.h>
@@ -32,6 +33,8 @@
 // together.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(150);
 constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(450);
+// A connection is given up this long before the replica closes it.
+constexpr std::chrono::seconds kIdleMargin{ 1 };
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 
@@ -146,6 +149,23 @@
   return kept;
 }
 
+// The timeout parameter of a Keep-Alive header.
+std::optional<std::chrono::seconds>
+KeepAliveTimeout(std::string_view aHeader)
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at = aHeader.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = aHeader.substr(at + kTimeout.size());
+  long seconds = 0;
+  if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
 long
 MillisLeft(TimePoint aUntil, TimePoint aNow)
 {
@@ -427,7 +447,7 @@
   request.mPath = aRelayed.mRequest.mTarget;
   request.mBody = aRelayed.mRequest.mBody;
   request.mForwarded = true;
-  request.mFreshConnection = !aRelayed.mRoute->mRepeatable;
+  request.mMaxIdle = std::max(aReplica.mKeepsIdle - kIdleMargin, std::chrono::seconds(1));
   request.mExpectedHeader = { names.mRequestId, aRelayed.mId };
   request.mExpectedOptional = true;
   request.mMaxReply = kMaxReply;
@@ -527,6 +547,9 @@
   }
   const TimePoint now = SteadyNow();
   const Route& route = *aAttempt.mOwner->mRoute;
+  if (const auto idle = KeepAliveTimeout(aReply.Header("keep-alive"))) {
+    replica->second->mKeepsIdle = *idle;
+  }
   LatencyHistogram& history = History(*aAttempt.mOwner);
   const Duration usual = UsualLatency(history, route.mObjective);
   const Duration took = now - aAttempt.mSentAt;
