Return to service quickly after a loss of all processes

Cause: after the closing fault every window was dead for 2 to 4 s: gateways waited for an election before they got the document, for announcements, and for gRPC's back-off. Change: a starting gateway adopts the newest document that a majority of voters has logged; coordinators keep a hint file of announced upstreams; lost connections are reopened at once. Partial answers leave 18 ms before the objective.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -7,6 +7,7 @@
 #include "fleet_client.h"
 #include "fleet_messages.h"
 #include "group_plan.h"
+#include "latest_file.h"
 #include "log.h"
 #include "loop_calls.h"
 #include "raft_node.h"
@@ -28,6 +29,8 @@
 // Operators wait a second for an answer; a proposal that takes much longer is asked again.
 constexpr Duration kLogTimeout = std::chrono::milliseconds(2500);
 constexpr Duration kExpireInterval = std::chrono::milliseconds(250);
+// How often the list of upstreams is written, if it has changed.
+constexpr Duration kHintInterval = std::chrono::seconds(1);
 constexpr Duration kPlanInterval = std::chrono::milliseconds(500);
 // How long a request to join counts; it is repeated each second.
 constexpr Duration kJoinFresh = std::chrono::seconds(3);
@@ -101,6 +104,11 @@
   bool IsSeed() const;
   Expected<std::unique_ptr<RaftNode>> OpenNode();
 
+  static std::uint32_t VotersSeenBy(const LogStatus& aStatus);
+  void DescribeDocument(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const;
+  void RestoreUpstreams();
+  void SaveUpstreams();
+
   void OnDocument();
   void OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void Plan();
@@ -121,6 +129,9 @@
   DocumentState mState;
   std::unique_ptr<RaftNode> mLog;
   std::unique_ptr<FleetClient> mClient;
+  std::unique_ptr<LatestFile> mHints;
+  // The last change of the registry that mHints got.
+  std::uint64_t mSavedCursor = 0;
   std::map<std::string, std::pair<LogMember, TimePoint>> mJoining;
   bool mChanging = false;
   bool mStopping = false;
@@ -130,6 +141,42 @@
   TimePoint mNextJoin;
 };
 
+// Announces the upstreams that the earlier process on this disk had registered. They renew at one
+// of the coordinators within their lease or expire.
+void
+Coordinator::RestoreUpstreams()
+{
+  const std::string path = mSettings.mDataFolder + "/upstreams";
+  rpc::FleetSyncReply hints;
+  if (!hints.ParseFromString(LatestFile::Load(path))) {
+    LogEvent(Event::AnnouncementRejected, { { "file", path }, { "reason", "damaged" } });
+  }
+  const TimePoint now = SteadyNow();
+  for (const rpc::Record& message : hints.records()) {
+    if (const auto record = FromMessage(message)) {
+      RegisterUpstream(mRegistry, record->mInfo, now);
+    }
+  }
+  LogEvent(Event::UpstreamsRestored, { { "upstreams", hints.records_size() } });
+  mHints = std::make_unique<LatestFile>(path);
+}
+
+void
+Coordinator::SaveUpstreams()
+{
+  if (mSavedCursor == mRegistry.mCursor) {
+    return;
+  }
+  mSavedCursor = mRegistry.mCursor;
+  rpc::FleetSyncReply hints;
+  for (const DirectoryRecord* const record : ChangedSince(mRegistry, 0)) {
+    if (!record->mGone) {
+      ToMessage(*record, Duration::zero(), *hints.add_records());
+    }
+  }
+  mHints->Save(hints.SerializeAsString());
+}
+
 bool
 Coordinator::IsSeed() const
 {
@@ -155,7 +202,7 @@
   settings.mSeed = mSelf.mIncarnation;
   return RaftNode::Builder(mLoop)
     .Name(MemberNameOf(mSelf.mIp))
-    .Folder(mSettings.mDataFolder)
+    .Folder(mSettings.mDataFolder + "/group")
     .Address(PeerAddress(mSelf.mIp))
     .InitialMembers(std::move(initial))
     .Machine(mState.Machine())
@@ -183,7 +230,9 @@
     });
   mClient->SetSelf(mSelf);
   AddSeeds(mSettings.mSeeds);
+  RestoreUpstreams();
   mLoop.AddPeriodic(kExpireInterval, [this] { ExpireRegistry(mRegistry, SteadyNow()); });
+  mLoop.AddPeriodic(kHintInterval, [this] { SaveUpstreams(); });
   mLoop.AddPeriodic(kPlanInterval, [this] {
     Plan();
     AskToJoin();
@@ -329,6 +378,41 @@
   return reply;
 }
 
+// The number of voters if this host is one of them, otherwise 0.
+std::uint32_t
+Coordinator::VotersSeenBy(const LogStatus& aStatus)
+{
+  std::uint32_t voters = 0;
+  bool self = false;
+  for (const LogMember& member : aStatus.mMembers) {
+    if (member.mRole == MemberRole::Voter) {
+      ++voters;
+      self |= member.mId == aStatus.mSelf;
+    }
+  }
+  return self ? voters : 0;
+}
+
+void
+Coordinator::DescribeDocument(const rpc::FleetSyncRequest& aRequest,
+                              rpc::FleetSyncReply& aReply) const
+{
+  DocumentVersion version = mState.Current().mVersion;
+  std::string packed;
+  if (!aReply.current()) {
+    for (const std::string& command : mLog->UncommittedCommands()) {
+      if (const auto logged = DecodeDocument(command); logged && logged->mVersion > version) {
+        version = logged->mVersion;
+        packed = command;
+      }
+    }
+  }
+  aReply.set_document_version(version);
+  if (aRequest.wants_document() && version > aRequest.document_version()) {
+    aReply.set_document(packed.empty() ? mState.Packed() : packed);
+  }
+}
+
 rpc::FleetSyncReply
 Coordinator::Sync(const rpc::FleetSyncRequest& aRequest)
 {
@@ -343,11 +427,8 @@
   *reply.mutable_self() = ToMessage(mSelf);
   const LogStatus status = mLog->Status();
   reply.set_current(status.mLeading || !status.mLeader.empty());
-  const StoredDocument& document = mState.Current();
-  reply.set_document_version(document.mVersion);
-  if (aRequest.wants_document() && document.mVersion > aRequest.document_version()) {
-    reply.set_document(mState.Packed());
-  }
+  reply.set_voters(VotersSeenBy(status));
+  DescribeDocument(aRequest, reply);
   const bool sameRun = aRequest.cursor_incarnation() == mSelf.mIncarnation;
   reply.set_cursor(mRegistry.mCursor);
   for (const DirectoryRecord* record : ChangedSince(mRegistry, sameRun ? aRequest.cursor() : 0)) {
--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -22,6 +22,9 @@
 constexpr int kSilentCalls = 2;
 // From the arrival of a document until the loop has applied it and raised the version.
 constexpr std::chrono::milliseconds kApplyTime{ 150 };
+// A coordinator that restarts is back within a second; until then it is asked more often.
+constexpr Duration kRetryPause = std::chrono::milliseconds(60);
+constexpr int kQuickRetries = 25;
 constexpr int kReconnectMinMillis = 100;
 constexpr int kReconnectMaxMillis = 400;
 
@@ -154,7 +157,8 @@
                { { "coordinator", mAddress }, { "reason", aStatus.error_message() } });
     }
     mReachable = false;
-    if (++mFailures % kSilentCalls == 0) {
+    // A new connection does not wait for the back-off of the old one.
+    if (++mFailures >= kSilentCalls || aStatus.error_code() == grpc::StatusCode::UNAVAILABLE) {
       mStub = OpenStub(mAddress, mSettings.mSecurity);
     }
   }
@@ -186,7 +190,9 @@
     const auto due = [this] {
       return mShared.mStopping || mFetchNow || mShared.mKick != mSeenKick;
     };
-    mShared.mMutex.AwaitWithTimeout(absl::Condition(&due), absl::FromChrono(mSettings.mPause));
+    const bool retrySoon = mFailures > 0 && mFailures < kQuickRetries;
+    const Duration pause = retrySoon ? std::min(kRetryPause, mSettings.mPause) : mSettings.mPause;
+    mShared.mMutex.AwaitWithTimeout(absl::Condition(&due), absl::FromChrono(pause));
     mFetchNow = false;
     return !mShared.mStopping;
   }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -9,6 +9,7 @@
 #include "relay.h"
 
 #include <algorithm>
+#include <set>
 
 namespace apricotyard {
 
@@ -66,7 +67,8 @@
 
   Expected<void> Listen();
   void OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply);
-  void Adopt(const rpc::FleetSyncReply& aReply);
+  void Consider(const std::string& aIp, const rpc::FleetSyncReply& aReply);
+  void Adopt();
   void Expire();
   void PublishUpstreams();
   void AnswerReady(const HttpRequest& aRequest, const HttpResponder& aRespond);
@@ -81,7 +83,15 @@
   std::unique_ptr<FleetClient> mClient;
   std::unique_ptr<HttpServer> mCallers;
   std::unique_ptr<HttpServer> mReady;
+  // The version in force here; 0 at first.
   DocumentVersion mVersion = 0;
+  DocumentVersion mCandidateVersion = 0;
+  std::string mCandidate;
+  // Until the first document: the newest version that a coordinator named, and who answered.
+  DocumentVersion mNewestSeen = 0;
+  bool mCurrentSeen = false;
+  bool mMajoritySeen = false;
+  std::set<std::string> mVotersSeen;
   std::map<std::string, std::uint32_t> mGatewayCounts;
   TimePoint mHeardAt;
   // When a coordinator was heard again after all were silent.
@@ -188,33 +198,52 @@
   if (changed) {
     PublishUpstreams();
   }
-  Adopt(aReply);
+  Consider(aIp, aReply);
 }
 
+// Keeps the newest document that was seen until it is certain that no newer one was acknowledged:
+// a coordinator in contact with its group tells so, or a majority of the voters does.
 void
-Gateway::Adopt(const rpc::FleetSyncReply& aReply)
+Gateway::Consider(const std::string& aIp, const rpc::FleetSyncReply& aReply)
 {
-  if (aReply.document_version() <= mVersion || aReply.document().empty()) {
-    return;
+  if (aReply.document_version() > mCandidateVersion && !aReply.document().empty()) {
+    mCandidateVersion = aReply.document_version();
+    mCandidate = aReply.document();
+    mClient->SetDocumentVersion(mCandidateVersion);
   }
-  // A coordinator that has lost its group may hold an old document. It is good enough only while
-  // nothing newer was ever known, and then the group is asked again.
-  if (mVersion == 0 && !aReply.current()) {
-    return;
+  if (mVersion == 0) {
+    mNewestSeen = std::max<DocumentVersion>(mNewestSeen, aReply.document_version());
+    mCurrentSeen |= aReply.current();
+    if (aReply.voters() > 0) {
+      mVotersSeen.insert(aIp);
+      mMajoritySeen |= mVotersSeen.size() > aReply.voters() / 2;
+    }
+    if (!mCurrentSeen && !mMajoritySeen) {
+      return;
+    }
+  }
+  if (mCandidateVersion > mVersion && mCandidateVersion >= mNewestSeen) {
+    Adopt();
   }
-  const auto stored = DecodeDocument(aReply.document());
+}
+
+void
+Gateway::Adopt()
+{
+  const auto stored = DecodeDocument(mCandidate);
   auto document = stored ? mDialect.mDecodeDocument(stored->mBytes)
                          : Expected<RoutingDocument>(tl::unexpected(stored.error()));
   if (!document) {
     LogEvent(Event::ConfigurationNotAdopted,
-             { { "version", aReply.document_version() }, { "reason", document.error().mMessage } });
+             { { "version", mCandidateVersion }, { "reason", document.error().mMessage } });
     return;
   }
-  mVersion = aReply.document_version();
+  mVersion = mCandidateVersion;
   mRelay.SetRouting(std::make_shared<RoutingTable>(*std::move(document)));
-  mClient->SetDocumentVersion(mVersion);
   LogEvent(Event::DocumentAdopted,
-           { { "version", mVersion }, { "coordinator", aReply.self().ip() } });
+           { { "version", mVersion },
+             { "current", mCurrentSeen },
+             { "voters", mVotersSeen.size() } });
   if (!mSelf.mServing && !mStopping) {
     mSelf.mServing = true;
     mClient->SetSelf(mSelf);
--- a/src/raft_node.cpp
+++ b/src/raft_node.cpp
@@ -667,6 +667,19 @@
   mState->SchedulePump();
 }
 
+std::vector<std::string>
+RaftNode::UncommittedCommands() const
+{
+  std::vector<std::string> commands;
+  const Raft& core = mState->mMember->Core();
+  for (const LogEntry& entry : core.mEntries) {
+    if (entry.mIndex > core.mCommitted && entry.mKind == EntryKind::Command) {
+      commands.push_back(entry.mData);
+    }
+  }
+  return commands;
+}
+
 LogStatus
 RaftNode::Status() const
 {
--- a/src/raft_node.h
+++ b/src/raft_node.h
@@ -86,6 +86,8 @@
   void Promote(const std::string& aMember, DoneHandler aDone) override;
   void Remove(const std::string& aMember, DoneHandler aDone) override;
   LogStatus Status() const override;
+  // Commands that the log of this member holds and that are not known to be committed.
+  std::vector<std::string> UncommittedCommands() const;
 
 private:
   struct State;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -17,8 +17,9 @@
 
 namespace {
 
-// Part of the objective that is kept for the way back to the caller and for writing the answer.
-constexpr Duration kReturnTrip = std::chrono::milliseconds(9);
+// Part of the objective that passes outside of the gateway: the caller's connection set-up, the way
+// here and back at 3 ms each, and writing the answer on a slow host.
+constexpr Duration kReturnTrip = std::chrono::milliseconds(18);
 // An attempt that lost against another one, or whose shard was left out, may still finish within
 // this time: its connection stays usable and its latency becomes known.
 constexpr Duration kLoserGrace = std::chrono::milliseconds(250);
