Read SIGHUP; answer truly what is open when a gateway ends

Change: SIGHUP is read and reloads seeds and log level; the relay answers what is open with 502 unless nothing ran.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -675,7 +675,9 @@
 }
 
 int
-RunCoordinator(const CoordinatorSettings& aSettings, const Dialect& aDialect)
+RunCoordinator(const CoordinatorSettings& aSettings,
+               const Dialect& aDialect,
+               const std::function<std::optional<CoordinatorSettings>()>& aReadAgain)
 {
   BlockStopSignals();
   Loop loop;
@@ -694,6 +696,14 @@
       });
     }
   });
+  HandleReloadSignal(loop, [&coordinator, &aReadAgain] {
+    const auto settings = aReadAgain();
+    LogEvent(Event::SettingsReloaded, { { "valid", settings.has_value() } });
+    if (settings) {
+      coordinator.AddSeeds(settings->mSeeds);
+      SetLogLevel(settings->mLogLevel);
+    }
+  });
   StartLogger("apricot-coordinator", aSettings.mLogLevel);
   std::string failure;
   std::unique_ptr<HttpServer> control;
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -8,6 +8,9 @@
 #include "rpc_credentials.h"
 #include "settings.h"
 
+#include <functional>
+#include <optional>
+
 namespace apricotyard {
 
 struct CoordinatorSettings
@@ -37,8 +40,13 @@
 ReadCoordinatorSettings(SettingsReader& aReader, CoordinatorSettings& aSettings);
 
 // Serves until SIGTERM or SIGINT. Returns the exit code of the program.
+//
+// On SIGHUP the seeds and the log level of aReadAgain take effect; it returns nothing if the file is
+// invalid. Everything else needs a restart.
 int
-RunCoordinator(const CoordinatorSettings& aSettings, const Dialect& aDialect);
+RunCoordinator(const CoordinatorSettings& aSettings,
+               const Dialect& aDialect,
+               const std::function<std::optional<CoordinatorSettings>()>& aReadAgain);
 
 } // namespace apricotyard
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -53,6 +53,7 @@
 
   Expected<void> Start();
   void BeginStop();
+  void AddSeeds(const std::vector<SocketAddress>& aSeeds);
 
 private:
   static RelaySettings MakeRelaySettings(const GatewaySettings& aSettings)
@@ -116,13 +117,19 @@
       OnSync(aIp, aReply);
     });
   mClient->SetSelf(mSelf);
-  for (const SocketAddress& seed : mSettings.mSeeds) {
-    mClient->AddCoordinator(seed.mIp);
-  }
+  AddSeeds(mSettings.mSeeds);
   mLoop.AddPeriodic(kExpireInterval, [this] { Expire(); });
   return {};
 }
 
+void
+Gateway::AddSeeds(const std::vector<SocketAddress>& aSeeds)
+{
+  for (const SocketAddress& seed : aSeeds) {
+    mClient->AddCoordinator(seed.mIp);
+  }
+}
+
 Expected<void>
 Gateway::Listen()
 {
@@ -300,7 +307,10 @@
     return;
   }
   mCallers->StopListening();
-  if (mCallers->OpenRequests() == 0 || now >= mStopAt) {
+  if (mCallers->OpenRequests() == 0) {
+    mLoop.Stop();
+  } else if (now >= mStopAt) {
+    mRelay.Abandon();
     mLoop.Stop();
   }
 }
@@ -337,12 +347,22 @@
 }
 
 int
-RunGateway(const GatewaySettings& aSettings, const Dialect& aDialect)
+RunGateway(const GatewaySettings& aSettings,
+           const Dialect& aDialect,
+           const std::function<std::optional<GatewaySettings>()>& aReadAgain)
 {
   BlockStopSignals();
   Loop loop;
   Gateway gateway(loop, aSettings, aDialect);
   HandleStopSignals(loop, [&gateway] { gateway.BeginStop(); });
+  HandleReloadSignal(loop, [&gateway, &aReadAgain] {
+    const auto settings = aReadAgain();
+    LogEvent(Event::SettingsReloaded, { { "valid", settings.has_value() } });
+    if (settings) {
+      gateway.AddSeeds(settings->mSeeds);
+      SetLogLevel(settings->mLogLevel);
+    }
+  });
   StartLogger("apricot-gateway", aSettings.mLogLevel);
   const auto started = gateway.Start();
   if (started) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -8,6 +8,9 @@
 #include "rpc_credentials.h"
 #include "settings.h"
 
+#include <functional>
+#include <optional>
+
 namespace apricotyard {
 
 struct GatewaySettings
@@ -34,8 +37,13 @@
 ReadGatewaySettings(SettingsReader& aReader, GatewaySettings& aSettings);
 
 // Serves until SIGTERM or SIGINT. Returns the exit code of the program.
+//
+// On SIGHUP the seeds and the log level of aReadAgain take effect; it returns nothing if the file is
+// invalid. Everything else needs a restart.
 int
-RunGateway(const GatewaySettings& aSettings, const Dialect& aDialect);
+RunGateway(const GatewaySettings& aSettings,
+           const Dialect& aDialect,
+           const std::function<std::optional<GatewaySettings>()>& aReadAgain);
 
 } // namespace apricotyard
 
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -414,7 +414,7 @@
   mState->mLoop.RemoveFd(mState->mEpollFd);
   const auto suspended = mState->mSuspended;
   for (const auto& exchange : suspended) {
-    Answer(*exchange, ErrorResponse(Result::Stopping, "the process is stopping"));
+    Answer(*exchange, ErrorResponse(Result::Internal, "the process stopped before an answer came"));
   }
   MHD_run(mState->mDaemon);
   MHD_stop_daemon(mState->mDaemon);
--- a/src/loop.cpp
+++ b/src/loop.cpp
@@ -209,28 +209,43 @@
 void
 BlockStopSignals()
 {
-  const sigset_t signals = StopSignals();
+  sigset_t signals = StopSignals();
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+namespace {
+
 void
-HandleStopSignals(Loop& aLoop, Loop::Task aHandler)
+ReadSignals(Loop& aLoop, const sigset_t& aSignals, Loop::Task aHandler)
 {
   BlockStopSignals();
-  const sigset_t signals = StopSignals();
   // A write to a connection that the peer closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
-  const int fd = signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
-  aLoop.AddFd(fd, EPOLLIN, [&aLoop, fd, handler = std::move(aHandler)](std::uint32_t) {
+  const int fd = signalfd(-1, &aSignals, SFD_CLOEXEC | SFD_NONBLOCK);
+  aLoop.AddFd(fd, EPOLLIN, [fd, handler = std::move(aHandler)](std::uint32_t) {
     signalfd_siginfo info{};
     while (read(fd, &info, sizeof(info)) > 0) {
     }
-    if (handler) {
-      handler();
-    } else {
-      aLoop.Stop();
-    }
+    handler();
   });
 }
 
+} // namespace
+
+void
+HandleStopSignals(Loop& aLoop, Loop::Task aHandler)
+{
+  ReadSignals(aLoop, StopSignals(), aHandler ? std::move(aHandler) : [&aLoop] { aLoop.Stop(); });
+}
+
+void
+HandleReloadSignal(Loop& aLoop, Loop::Task aHandler)
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  ReadSignals(aLoop, signals, std::move(aHandler));
+}
+
 } // namespace apricotyard
--- a/src/loop.h
+++ b/src/loop.h
@@ -75,11 +75,16 @@
   std::deque<Task> mMailbox;
 };
 
-// Blocks SIGTERM and SIGINT, which HandleStopSignals reads. Call before the first thread starts: a
-// thread that does not block them would end the process at once.
+// Blocks SIGTERM, SIGINT and SIGHUP, which the handlers below read. Call before the first thread
+// starts: a thread that does not block them would end the process at once.
 void
 BlockStopSignals();
 
+// Calls aHandler when the process receives SIGHUP, by which an operator says that the settings file
+// has changed. Same conditions as HandleStopSignals.
+void
+HandleReloadSignal(Loop& aLoop, Loop::Task aHandler);
+
 // Calls aLoop.Stop, or aHandler if given, when the process receives SIGTERM or SIGINT. Call once,
 // before any thread starts, because it blocks the signals and reads them through a descriptor.
 void
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -264,6 +264,20 @@
   mState->mStopping = true;
 }
 
+void
+Relay::Abandon()
+{
+  std::set<std::shared_ptr<Relayed>> open;
+  for (const auto& [number, attempt] : mState->mAttempts) {
+    open.insert(attempt.mOwner);
+  }
+  for (const std::shared_ptr<Relayed>& relayed : open) {
+    if (!relayed->mDone) {
+      mState->Finish(relayed, mState->FailureOf(*relayed));
+    }
+  }
+}
+
 std::size_t
 Relay::OpenRequests() const
 {
--- a/src/relay.h
+++ b/src/relay.h
@@ -44,6 +44,9 @@
   // Answers aRequest sooner or later, unless its caller leaves.
   void Handle(HttpRequest aRequest, HttpResponder aRespond);
 
+  // Answers every open request with what is known of it, because the process ends.
+  void Abandon();
+
   // Requests without an answer.
   std::size_t OpenRequests() const;
 
