--- a/src/control_server.cpp
+++ b/src/control_server.cpp
@@ -97,8 +97,9 @@
 private:
   ControlCore::ClaimHandler Finisher(const OpenCall<rpc::ClaimReply>& aCall)
   {
-    return
-      [this, aCall](const rpc::ClaimReply& aReply) { mCalls.Finish(aCall, aReply, grpc::Status::OK); };
+    return [this, aCall](const rpc::ClaimReply& aReply) {
+      mCalls.Finish(aCall, aReply, grpc::Status::OK);
+    };
   }
 
   LoopCalls mCalls;
--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -47,8 +47,8 @@
 std::uint64_t
 NewIncarnation()
 {
-  return static_cast<std::uint64_t>(
-    std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds(1));
+  return static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() /
+                                    std::chrono::milliseconds(1));
 }
 
 // The name of a member is derived from its address, which is all that seeds tell.
@@ -261,9 +261,9 @@
 void
 Coordinator::OnDocument()
 {
-  LogEvent(Event::DocumentStored,
-           { { "version", mState.Current().mVersion },
-             { "bytes", mState.Current().mBytes.size() } });
+  LogEvent(
+    Event::DocumentStored,
+    { { "version", mState.Current().mVersion }, { "bytes", mState.Current().mBytes.size() } });
 }
 
 void
@@ -309,9 +309,8 @@
   view.mLastIndex = status.mLastIndex;
   view.mLeader = status.mSelf;
   view.mLeadingSince = mLeadingSince;
-  std::erase_if(mJoining, [now](const auto& aEntry) {
-    return aEntry.second.second + kJoinFresh < now;
-  });
+  std::erase_if(mJoining,
+                [now](const auto& aEntry) { return aEntry.second.second + kJoinFresh < now; });
   for (const auto& [ip, joining] : mJoining) {
     view.mJoining.push_back(joining.first);
   }
@@ -349,9 +348,9 @@
   const LogStatus status = mLog->Status();
   const TimePoint now = SteadyNow();
   const bool member =
-    std::any_of(status.mMembers.begin(), status.mMembers.end(), [&status](const LogMember& aMember) {
-      return aMember.mId == status.mSelf;
-    });
+    std::any_of(status.mMembers.begin(),
+                status.mMembers.end(),
+                [&status](const LogMember& aMember) { return aMember.mId == status.mSelf; });
   // The seeds of the first start form the group themselves.
   const bool forming = mSettings.mFirstStart && IsSeed() && status.mLastIndex == 0;
   if (member || forming || mStopping || now < mNextJoin) {
@@ -555,22 +554,21 @@
   }
   const DocumentVersion version = aDocument.mVersion;
   const TimePoint began = SteadyNow();
-  mLog->Propose(EncodeDocument(aDocument),
-                [aRespond, version, began](const Expected<std::string>& aOutcome) {
-                  const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
-                    SteadyNow() - began);
-                  LogEvent(Event::DocumentProposed,
-                           { { "version", version },
-                             { "took_ms", took.count() },
-                             { "result", aOutcome ? "ok" : aOutcome.error().mMessage } });
-                  if (!aOutcome) {
-                    aRespond(Unavailable(aOutcome.error().mMessage));
-                    return;
-                  }
-                  HttpResponse response;
-                  response.mBody = "{}";
-                  aRespond(std::move(response));
-                });
+  mLog->Propose(
+    EncodeDocument(aDocument), [aRespond, version, began](const Expected<std::string>& aOutcome) {
+      const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(SteadyNow() - began);
+      LogEvent(Event::DocumentProposed,
+               { { "version", version },
+                 { "took_ms", took.count() },
+                 { "result", aOutcome ? "ok" : aOutcome.error().mMessage } });
+      if (!aOutcome) {
+        aRespond(Unavailable(aOutcome.error().mMessage));
+        return;
+      }
+      HttpResponse response;
+      response.mBody = "{}";
+      aRespond(std::move(response));
+    });
 }
 
 void
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -41,8 +41,8 @@
 
 // Serves until SIGTERM or SIGINT. Returns the exit code of the program.
 //
-// On SIGHUP the seeds and the log level of aReadAgain take effect; it returns nothing if the file is
-// invalid. Everything else needs a restart.
+// On SIGHUP the seeds and the log level of aReadAgain take effect; it returns nothing if the file
+// is invalid. Everything else needs a restart.
 int
 RunCoordinator(const CoordinatorSettings& aSettings,
                const Dialect& aDialect,
--- a/src/extra_budget.cpp
+++ b/src/extra_budget.cpp
@@ -36,9 +36,8 @@
 Allowance(const ExtraBudget& aBudget, const ExtraBudgetLimits& aLimits, std::size_t aGateways)
 {
   const double first = std::accumulate(aBudget.mFirst.begin(), aBudget.mFirst.end(), 0.0);
-  return kBudgetUse *
-         (aLimits.mRatio * first +
-          aLimits.mFixed / static_cast<double>(std::max<std::size_t>(aGateways, 1)));
+  return kBudgetUse * (aLimits.mRatio * first +
+                       aLimits.mFixed / static_cast<double>(std::max<std::size_t>(aGateways, 1)));
 }
 
 double
--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -263,20 +263,19 @@
   if (link != nullptr) {
     return;
   }
-  const auto deliver = [weak = mState->weak_from_this(), loop = &mState->mLoop, aIp](
-                         rpc::FleetSyncReply aReply) {
-    const auto shared = std::make_shared<rpc::FleetSyncReply>(std::move(aReply));
-    return loop->Post([weak, aIp, shared] {
-      if (const auto state = weak.lock()) {
-        state->mOnReply(aIp, *shared);
-      }
-    });
-  };
-  link = std::make_unique<CoordinatorLink>(
-    mState->mShared,
-    FormatSocketAddress({ aIp, mState->mSettings.mRpcPort }),
-    mState->mSettings,
-    deliver);
+  const auto deliver =
+    [weak = mState->weak_from_this(), loop = &mState->mLoop, aIp](rpc::FleetSyncReply aReply) {
+      const auto shared = std::make_shared<rpc::FleetSyncReply>(std::move(aReply));
+      return loop->Post([weak, aIp, shared] {
+        if (const auto state = weak.lock()) {
+          state->mOnReply(aIp, *shared);
+        }
+      });
+    };
+  link = std::make_unique<CoordinatorLink>(mState->mShared,
+                                           FormatSocketAddress({ aIp, mState->mSettings.mRpcPort }),
+                                           mState->mSettings,
+                                           deliver);
 }
 
 void
--- a/src/fleet_client.h
+++ b/src/fleet_client.h
@@ -6,8 +6,8 @@
 #include "fleet.pb.h"
 #include "fleet_registry.h"
 #include "loop.h"
-#include "rpc_credentials.h"
 #include "routing.h"
+#include "rpc_credentials.h"
 
 #include <functional>
 #include <memory>
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -247,10 +247,9 @@
   }
   mVersion = mCandidateVersion;
   mRelay.SetRouting(std::make_shared<RoutingTable>(*std::move(document)));
-  LogEvent(Event::DocumentAdopted,
-           { { "version", mVersion },
-             { "current", mCurrentSeen },
-             { "voters", mVotersSeen.size() } });
+  LogEvent(
+    Event::DocumentAdopted,
+    { { "version", mVersion }, { "current", mCurrentSeen }, { "voters", mVotersSeen.size() } });
   if (!mSelf.mServing && !mStopping) {
     mSelf.mServing = true;
     mClient->SetSelf(mSelf);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -38,8 +38,8 @@
 
 // Serves until SIGTERM or SIGINT. Returns the exit code of the program.
 //
-// On SIGHUP the seeds and the log level of aReadAgain take effect; it returns nothing if the file is
-// invalid. Everything else needs a restart.
+// On SIGHUP the seeds and the log level of aReadAgain take effect; it returns nothing if the file
+// is invalid. Everything else needs a restart.
 int
 RunGateway(const GatewaySettings& aSettings,
            const Dialect& aDialect,
--- a/src/group_plan.cpp
+++ b/src/group_plan.cpp
@@ -39,10 +39,10 @@
     }
   }
   for (const LogMember& joining : aView.mJoining) {
-    const bool known = std::any_of(
-      aView.mMembers.begin(), aView.mMembers.end(), [&joining](const LogMember& aMember) {
-        return aMember.mId == joining.mId;
-      });
+    const bool known =
+      std::any_of(aView.mMembers.begin(),
+                  aView.mMembers.end(),
+                  [&joining](const LogMember& aMember) { return aMember.mId == joining.mId; });
     if (!known) {
       return GroupStep{ GroupChange::AddLearner, joining };
     }
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -209,8 +209,8 @@
     return TransferEnd::TooLarge;
   }
   if (aCode == CURLE_OK) {
-    const bool expected = !aTransfer.mRequest.mExpectedHeader.mName.empty() &&
-                          !aTransfer.mRequest.mExpectedOptional;
+    const bool expected =
+      !aTransfer.mRequest.mExpectedHeader.mName.empty() && !aTransfer.mRequest.mExpectedOptional;
     return expected && !aTransfer.mExpectedSeen ? TransferEnd::Crossed : TransferEnd::Complete;
   }
   // A second connection, refused or not, does not undo what the first one may have carried.
@@ -237,7 +237,9 @@
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, millis);
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::clamp<long>(millis / kConnectTimeShare, 1, kMaxConnectMillis));
+  curl_easy_setopt(easy,
+                   CURLOPT_CONNECTTIMEOUT_MS,
+                   std::clamp<long>(millis / kConnectTimeShare, 1, kMaxConnectMillis));
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.mFreshConnection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(request.mMaxIdle.count()));
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
@@ -252,9 +254,7 @@
   }
   if (request.mForwarded) {
     curl_easy_setopt(
-      easy,
-      CURLOPT_URL,
-      fmt::format("http://{}/", FormatSocketAddress(request.mAddress)).c_str());
+      easy, CURLOPT_URL, fmt::format("http://{}/", FormatSocketAddress(request.mAddress)).c_str());
     curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request.mPath.c_str());
     aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, "Accept:");
   }
@@ -279,8 +279,8 @@
       curl_slist_append(aTransfer.mHeaderList, "Content-Type: application/json");
   } else if (!request.mBody.empty() || request.mMethod != "GET") {
     // libcurl adds this header to a body by itself; a caller's own one stands in mHeaders.
-    const bool hasType = std::any_of(
-      request.mHeaders.begin(), request.mHeaders.end(), [](const HttpHeader& aHeader) {
+    const bool hasType =
+      std::any_of(request.mHeaders.begin(), request.mHeaders.end(), [](const HttpHeader& aHeader) {
         return strcasecmp(aHeader.mName.c_str(), "content-type") == 0;
       });
     if (!hasType) {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -503,9 +503,8 @@
     options.push_back({ MHD_OPTION_UNESCAPE_CALLBACK,
                         reinterpret_cast<std::intptr_t>(&KeepEscapes),
                         closure.get() });
-    options.push_back({ MHD_OPTION_URI_LOG_CALLBACK,
-                        reinterpret_cast<std::intptr_t>(&KeepTarget),
-                        closure.get() });
+    options.push_back(
+      { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&KeepTarget), closure.get() });
     options.push_back({ MHD_OPTION_NOTIFY_CONNECTION,
                         reinterpret_cast<std::intptr_t>(&HandleConnection),
                         closure.get() });
--- a/src/latest_file.cpp
+++ b/src/latest_file.cpp
@@ -75,9 +75,8 @@
     std::string data;
     {
       absl::MutexLock lock(&mMutex);
-      const auto due = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex) {
-        return mPending || mStopping;
-      };
+      const auto due = [this]()
+                         ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex) { return mPending || mStopping; };
       mMutex.Await(absl::Condition(&due));
       if (mStopping) {
         return;
--- a/src/loop.cpp
+++ b/src/loop.cpp
@@ -180,6 +180,7 @@
       (*handler)(events[i].events);
     }
   }
+  mStopping.store(false);
 }
 
 bool
@@ -236,7 +237,8 @@
 void
 HandleStopSignals(Loop& aLoop, Loop::Task aHandler)
 {
-  ReadSignals(aLoop, StopSignals(), aHandler ? std::move(aHandler) : [&aLoop] { aLoop.Stop(); });
+  ReadSignals(
+    aLoop, StopSignals(), aHandler ? std::move(aHandler) : [&aLoop] { aLoop.Stop(); });
 }
 
 void
--- a/src/loop.h
+++ b/src/loop.h
@@ -45,6 +45,7 @@
   void CancelTimer(TimerId aTimer);
   // Calls aTask every aPeriod, first after one period, until the loop stops.
   void AddPeriodic(Duration aPeriod, Task aTask);
+  // May be called again after it returned.
   void Run();
 
   // Queues aTask for the loop's thread. Returns false if the mailbox is full; the task is then
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -14,8 +14,8 @@
 // Share of the expected latency by which equal replicas are told apart at random, so that gateways
 // do not all choose the same one.
 constexpr double kJitter = 0.25;
-// Latencies of a replica are kept as multiples of the usual one, scaled to this, because one replica
-// serves several kinds of request.
+// Latencies of a replica are kept as multiples of the usual one, scaled to this, because one
+// replica serves several kinds of request.
 constexpr double kReferenceUs = 10'000;
 // A sample counts as at most this many times the usual latency. A replica that paused once is as
 // fast as before after the pause; one that is slow throughout still shows.
@@ -74,8 +74,7 @@
   double bestCost = 0;
   for (ReplicaView* const replica : aReplicas) {
     if (replica->mInfo.mState != UpstreamState::Ready || replica->mMisplaced ||
-        aTried.contains(replica->mInfo.mId) ||
-        replica->mRunning.size() >= aLimits.mMaxRunning) {
+        aTried.contains(replica->mInfo.mId) || replica->mRunning.size() >= aLimits.mMaxRunning) {
       continue;
     }
     const double cost = CostUs(*replica, aLimits, aUsual, aNow, aRng);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -446,8 +446,7 @@
   mLimits.mMaxRunning = std::max<std::size_t>(1, static_cast<std::size_t>(share));
   const Duration usual =
     UsualLatency(mHistory[aRelayed.mRoute->mName], aRelayed.mRoute->mObjective);
-  return ChooseReplica(
-    service->second.mReplicas, aPart.mTried, mLimits, usual, aNow, mRng);
+  return ChooseReplica(service->second.mReplicas, aPart.mTried, mLimits, usual, aNow, mRng);
 }
 
 ClientRequest
@@ -467,8 +466,8 @@
   request.mExpectedOptional = true;
   request.mMaxReply = kMaxReply;
   request.mTimeout = std::max<Duration>(aRelayed.mDeadline - aNow, std::chrono::milliseconds(1));
-  for (HttpHeader& header : EndToEndHeaders(aRelayed.mRequest.mHeaderList,
-                                            aRelayed.mRequest.Header("connection"))) {
+  for (HttpHeader& header :
+       EndToEndHeaders(aRelayed.mRequest.mHeaderList, aRelayed.mRequest.Header("connection"))) {
     if (strcasecmp(header.mName.c_str(), names.mTimeLeft.c_str()) != 0 &&
         strcasecmp(header.mName.c_str(), names.mExpectedUpstream.c_str()) != 0) {
       request.mHeaders.push_back(std::move(header));
@@ -729,8 +728,7 @@
   response.mStatus = aPart.mReply.mStatus;
   response.mBody = aPart.mReply.mBody;
   response.mContentType.clear();
-  response.mHeaders =
-    EndToEndHeaders(aPart.mReply.mHeaderList, aPart.mReply.Header("connection"));
+  response.mHeaders = EndToEndHeaders(aPart.mReply.mHeaderList, aPart.mReply.Header("connection"));
   return response;
 }
 
--- a/src/relay_policy.cpp
+++ b/src/relay_policy.cpp
@@ -1,6 +1,5 @@
 #include "relay_policy.h"
 
-
 #include <algorithm>
 #include <cmath>
 
--- a/src/top_records.cpp
+++ b/src/top_records.cpp
@@ -18,9 +18,8 @@
   std::partial_sort(records.begin(), end, records.end(), std::greater<>());
   std::string merged;
   merged.reserve(count * kRecordSize);
-  std::for_each(records.begin(), end, [&merged](std::string_view aRecord) {
-    merged.append(aRecord);
-  });
+  std::for_each(
+    records.begin(), end, [&merged](std::string_view aRecord) { merged.append(aRecord); });
   return merged;
 }
 
--- /dev/null
+++ b/tests/test_fleet_registry.cpp
@@ -0,0 +1,193 @@
+// Guards against upstreams that get work after they left, and against gateways that are named to
+// callers although they are gone.
+#include "fleet_registry.h"
+#include "latest_file.h"
+
+#include <cstdio>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace apricotyard;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint kStart{ seconds(1000) };
+
+UpstreamInfo
+Beat(const std::string& aId, std::uint64_t aIncarnation, std::uint64_t aSequence)
+{
+  UpstreamInfo info;
+  info.mId = aId;
+  info.mIncarnation = aIncarnation;
+  info.mSequence = aSequence;
+  info.mService = "s";
+  info.mAddress = { "10.0.0.1", 8080 };
+  info.mState = UpstreamState::Ready;
+  return info;
+}
+
+FleetRegistry
+MakeRegistry(const std::string& aHost)
+{
+  FleetRegistry registry;
+  registry.mDirectory.mHost = aHost;
+  registry.mDirectory.mIncarnation = 1;
+  return registry;
+}
+
+FleetHost
+MakeGateway(const std::string& aIp, const std::string& aDataCentre)
+{
+  FleetHost host;
+  host.mIp = aIp;
+  host.mDataCentre = aDataCentre;
+  host.mIncarnation = 1;
+  host.mServing = true;
+  return host;
+}
+
+} // namespace
+
+class FleetRegistryTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetRegistryTest);
+  CPPUNIT_TEST(LateBeatDoesNotReviveWhoLeft);
+  CPPUNIT_TEST(LeavingNoticeOfAnEarlierIncarnationIsIgnored);
+  CPPUNIT_TEST(LeavingOutranksAnotherCoordinatorsRecord);
+  CPPUNIT_TEST(RenewalsAreNoChanges);
+  CPPUNIT_TEST(SilentUpstreamsExpire);
+  CPPUNIT_TEST(CallersGetTheGatewaysOfTheirDataCentre);
+  CPPUNIT_TEST(StaleAndLeavingGatewaysAreNotNamed);
+  CPPUNIT_TEST(CallOfAnEarlierProcessIsIgnored);
+  CPPUNIT_TEST(HintFileKeepsTheLastVersion);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void LateBeatDoesNotReviveWhoLeft()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    RegisterUpstream(registry, Beat("u", 5, 1), kStart);
+    CPPUNIT_ASSERT(RemoveUpstream(registry, "u", 0, kStart));
+    RegisterUpstream(registry, Beat("u", 5, 2), kStart + milliseconds(10));
+    CPPUNIT_ASSERT(ListUpstreams(registry.mDirectory).empty());
+    // The next incarnation under the same identifier is another upstream.
+    RegisterUpstream(registry, Beat("u", 6, 1), kStart + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), ListUpstreams(registry.mDirectory).size());
+  }
+
+  void LeavingNoticeOfAnEarlierIncarnationIsIgnored()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    RegisterUpstream(registry, Beat("u", 6, 1), kStart);
+    CPPUNIT_ASSERT(!RemoveUpstream(registry, "u", 5, kStart));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), ListUpstreams(registry.mDirectory).size());
+    CPPUNIT_ASSERT(!RemoveUpstream(registry, "unknown", 0, kStart));
+  }
+
+  // The notice may reach another coordinator than the beats did; a gateway that hears both must
+  // believe the notice, in either order.
+  void LeavingOutranksAnotherCoordinatorsRecord()
+  {
+    FleetRegistry first = MakeRegistry("c1");
+    FleetRegistry second = MakeRegistry("c2");
+    RegisterUpstream(first, Beat("u", 5, 9), kStart);
+    const DirectoryRecord beat = *ChangedSince(first, 0).front();
+    ApplyRecord(second.mDirectory, beat, Duration::zero(), kStart);
+    CPPUNIT_ASSERT(RemoveUpstream(second, "u", 0, kStart));
+    const DirectoryRecord notice = *ChangedSince(second, 0).front();
+    for (const bool noticeFirst : { true, false }) {
+      Directory gateway;
+      gateway.mHost = "g";
+      ApplyRecord(gateway, noticeFirst ? notice : beat, Duration::zero(), kStart);
+      ApplyRecord(gateway, noticeFirst ? beat : notice, Duration::zero(), kStart);
+      CPPUNIT_ASSERT(ListUpstreams(gateway).empty());
+    }
+  }
+
+  void RenewalsAreNoChanges()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    RegisterUpstream(registry, Beat("u", 5, 1), kStart);
+    const std::uint64_t cursor = registry.mCursor;
+    for (std::uint64_t i = 2; i < 20; ++i) {
+      RegisterUpstream(registry, Beat("u", 5, i), kStart + seconds(i));
+    }
+    CPPUNIT_ASSERT_EQUAL(cursor, registry.mCursor);
+    UpstreamInfo draining = Beat("u", 5, 30);
+    draining.mState = UpstreamState::Draining;
+    RegisterUpstream(registry, draining, kStart + seconds(20));
+    const auto changed = ChangedSince(registry, cursor);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), changed.size());
+    CPPUNIT_ASSERT(changed.front()->mInfo.mState == UpstreamState::Draining);
+  }
+
+  void SilentUpstreamsExpire()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    RegisterUpstream(registry, Beat("u", 5, 1), kStart);
+    const std::uint64_t cursor = registry.mCursor;
+    ExpireRegistry(registry, kStart + seconds(4));
+    CPPUNIT_ASSERT(ChangedSince(registry, cursor).empty());
+    ExpireRegistry(registry, kStart + seconds(6));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), ChangedSince(registry, cursor).size());
+    CPPUNIT_ASSERT(ListUpstreams(registry.mDirectory).empty());
+  }
+
+  void CallersGetTheGatewaysOfTheirDataCentre()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    HearHost(registry, MakeGateway("10.0.0.1", "a"), kStart);
+    HearHost(registry, MakeGateway("10.0.0.2", "a"), kStart);
+    HearHost(registry, MakeGateway("10.0.0.3", "b"), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), ServingGateways(registry, "a", kStart).size());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.3"),
+                         ServingGateways(registry, "b", kStart).front()->mIp);
+    // Without one of their own, any will do.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), ServingGateways(registry, "c", kStart).size());
+  }
+
+  void StaleAndLeavingGatewaysAreNotNamed()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    HearHost(registry, MakeGateway("10.0.0.1", "a"), kStart);
+    FleetHost leaving = MakeGateway("10.0.0.2", "a");
+    leaving.mServing = false;
+    HearHost(registry, leaving, kStart + seconds(2));
+    CPPUNIT_ASSERT(ServingGateways(registry, "a", kStart + seconds(2)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), ServingGateways(registry, "a", kStart).size());
+  }
+
+  void CallOfAnEarlierProcessIsIgnored()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    FleetHost fresh = MakeGateway("10.0.0.1", "a");
+    fresh.mIncarnation = 2;
+    FleetHost old = MakeGateway("10.0.0.1", "a");
+    old.mServing = false;
+    HearHost(registry, fresh, kStart);
+    HearHost(registry, old, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), ServingGateways(registry, "a", kStart).size());
+  }
+
+  void HintFileKeepsTheLastVersion()
+  {
+    const std::string path = "/tmp/apricot-hint-test";
+    std::remove(path.c_str());
+    CPPUNIT_ASSERT(LatestFile::Load(path).empty());
+    {
+      LatestFile file(path);
+      const std::string big(200'000, 'b');
+      file.Save(big);
+      for (int i = 0; i < 200 && LatestFile::Load(path) != big; ++i) {
+        std::this_thread::sleep_for(milliseconds(10));
+      }
+      CPPUNIT_ASSERT(LatestFile::Load(path) == big);
+    }
+    std::remove(path.c_str());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetRegistryTest);
--- /dev/null
+++ b/tests/test_group_plan.cpp
@@ -0,0 +1,128 @@
+// Guards against a control group that loses its majority: voters removed without a replacement, an
+// even number of voters, or a lost disk that still counts.
+#include "group_plan.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace apricotyard;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint kStart{ seconds(1000) };
+
+LogMember
+Member(int aNumber, MemberRole aRole, const std::string& aNonce = "n")
+{
+  LogMember member;
+  member.mId = "m" + std::to_string(aNumber) + "." + aNonce;
+  member.mAddress = { "10.0.0." + std::to_string(aNumber), 7755 };
+  member.mRole = aRole;
+  member.mMatched = 1000;
+  return member;
+}
+
+MembershipView
+MakeView(int aVoters, int aLearners)
+{
+  MembershipView view;
+  view.mLastIndex = 1000;
+  view.mLeader = "m1.n";
+  view.mLeadingSince = kStart;
+  for (int i = 1; i <= aVoters + aLearners; ++i) {
+    view.mMembers.push_back(Member(i, i <= aVoters ? MemberRole::Voter : MemberRole::Learner));
+    view.mHeardAt["10.0.0." + std::to_string(i)] = kStart + seconds(100);
+  }
+  return view;
+}
+
+} // namespace
+
+class GroupPlanTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GroupPlanTest);
+  CPPUNIT_TEST(HealthyGroupStaysAsItIs);
+  CPPUNIT_TEST(NewHostBecomesALearner);
+  CPPUNIT_TEST(VotersStayOdd);
+  CPPUNIT_TEST(SilentVoterIsReplacedOnlyByALearnerThatCaughtUp);
+  CPPUNIT_TEST(SilenceCountsFromTheBeginOfTheLead);
+  CPPUNIT_TEST(LostDiskIsRemovedAndAddedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void HealthyGroupStaysAsItIs()
+  {
+    const TimePoint now = kStart + seconds(101);
+    CPPUNIT_ASSERT(!PlanGroup(MakeView(3, 0), now));
+    CPPUNIT_ASSERT(!PlanGroup(MakeView(3, 1), now));
+    // A lost voter without a replacement stays a member: removing it gains nothing.
+    MembershipView view = MakeView(3, 0);
+    view.mHeardAt.erase("10.0.0.3");
+    CPPUNIT_ASSERT(!PlanGroup(view, now));
+  }
+
+  void NewHostBecomesALearner()
+  {
+    MembershipView view = MakeView(3, 0);
+    view.mJoining = { Member(4, MemberRole::Learner) };
+    const auto step = PlanGroup(view, kStart + seconds(101));
+    CPPUNIT_ASSERT(step && step->mChange == GroupChange::AddLearner);
+    CPPUNIT_ASSERT_EQUAL(std::string("m4.n"), step->mMember.mId);
+  }
+
+  void VotersStayOdd()
+  {
+    const TimePoint now = kStart + seconds(101);
+    const auto even = PlanGroup(MakeView(2, 1), now);
+    CPPUNIT_ASSERT(even && even->mChange == GroupChange::Promote);
+    const auto pair = PlanGroup(MakeView(3, 2), now);
+    CPPUNIT_ASSERT(pair && pair->mChange == GroupChange::Promote);
+    CPPUNIT_ASSERT(!PlanGroup(MakeView(7, 2), now));
+    MembershipView behind = MakeView(2, 1);
+    behind.mMembers.back().mMatched = 10;
+    CPPUNIT_ASSERT(!PlanGroup(behind, now));
+  }
+
+  void SilentVoterIsReplacedOnlyByALearnerThatCaughtUp()
+  {
+    const TimePoint now = kStart + seconds(101);
+    MembershipView view = MakeView(3, 1);
+    view.mHeardAt["10.0.0.3"] = kStart;
+    const auto step = PlanGroup(view, now);
+    CPPUNIT_ASSERT(step && step->mChange == GroupChange::Remove);
+    CPPUNIT_ASSERT_EQUAL(std::string("m3.n"), step->mMember.mId);
+    view.mMembers.back().mMatched = 10;
+    CPPUNIT_ASSERT(!PlanGroup(view, now));
+    // A short silence is a restart.
+    view.mMembers.back().mMatched = 1000;
+    view.mHeardAt["10.0.0.3"] = now - seconds(5);
+    CPPUNIT_ASSERT(!PlanGroup(view, now));
+  }
+
+  void SilenceCountsFromTheBeginOfTheLead()
+  {
+    MembershipView view = MakeView(3, 1);
+    view.mHeardAt.erase("10.0.0.3");
+    CPPUNIT_ASSERT(!PlanGroup(view, kStart + seconds(5)));
+    CPPUNIT_ASSERT(PlanGroup(view, kStart + seconds(20)));
+  }
+
+  void LostDiskIsRemovedAndAddedAgain()
+  {
+    const TimePoint now = kStart + seconds(101);
+    MembershipView view = MakeView(3, 0);
+    view.mJoining = { Member(3, MemberRole::Learner, "fresh") };
+    const auto remove = PlanGroup(view, now);
+    CPPUNIT_ASSERT(remove && remove->mChange == GroupChange::Remove);
+    CPPUNIT_ASSERT_EQUAL(std::string("m3.n"), remove->mMember.mId);
+    view.mMembers.pop_back();
+    const auto add = PlanGroup(view, now);
+    CPPUNIT_ASSERT(add && add->mChange == GroupChange::AddLearner);
+    view.mMembers.push_back(Member(3, MemberRole::Learner, "fresh"));
+    const auto promote = PlanGroup(view, now);
+    CPPUNIT_ASSERT(promote && promote->mChange == GroupChange::Promote);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GroupPlanTest);
--- /dev/null
+++ b/tests/test_platform_wire.cpp
@@ -0,0 +1,188 @@
+// Guards against announcements, documents and calls of the platform that are misread.
+#include "wire.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+using namespace apricotyard;
+using namespace apricotyard::platform;
+using std::chrono::milliseconds;
+using Json = nlohmann::json;
+
+namespace {
+
+HttpRequest
+MakeCall(const std::string& aMethod, const std::string& aPath, const std::string& aBody = "")
+{
+  HttpRequest request;
+  request.mMethod = aMethod;
+  request.mPath = aPath;
+  request.mBody = aBody;
+  return request;
+}
+
+Json
+Heartbeat()
+{
+  return { { "service", "s" },     { "address", "10.0.0.9:8080" },
+           { "zone", "z" },        { "version", "v1" },
+           { "slots", 5 },         { "state", "ready" },
+           { "sequence", 4 },      { "born", 1'700'000'000'123 },
+           { "warmup_left_ms", 0 } };
+}
+
+Json
+Document()
+{
+  return Json::parse(R"({"version":7,"routes":[
+    {"name":"g","host":"h","path_prefix":"/g/","route_type":"idempotent","timeout_ms":1200,
+     "target_latency_ms":100,"priority":1,"gather":["s","t"],"max_attempts":2,"top_k":10,
+     "min_coverage":0.89},
+    {"name":"o","host":"h","path_prefix":"/o/","route_type":"non_idempotent","timeout_ms":4000,
+     "service":"s"},
+    {"name":"w","host":"h","path_prefix":"/w/","route_type":"idempotent","timeout_ms":10.5,
+     "traffic_split":[{"service":"s","weight":3},{"service":"t","weight":1}]}],
+    "services":[{"name":"s","max_connections":25},{"name":"t","max_connections":5}],
+    "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,
+    "idle_timeout_ms":15000}})");
+}
+
+} // namespace
+
+class PlatformWireTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlatformWireTest);
+  CPPUNIT_TEST(HeartbeatIsRead);
+  CPPUNIT_TEST(ForeignHeartbeatsNameNoUpstream);
+  CPPUNIT_TEST(LeavingIsRead);
+  CPPUNIT_TEST(CallsAreTold);
+  CPPUNIT_TEST(DocumentIsRead);
+  CPPUNIT_TEST(UnreadableDocumentsAreRefused);
+  CPPUNIT_TEST(GatewaysAreBounded);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void HeartbeatIsRead()
+  {
+    const auto call = DecodeCall(MakeCall("PUT", "/instances/i-1", Heartbeat().dump()));
+    CPPUNIT_ASSERT(call && call->mKind == FleetCallKind::Announce);
+    const UpstreamInfo& info = call->mUpstream;
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), info.mId);
+    CPPUNIT_ASSERT_EQUAL(std::string("s"), info.mService);
+    CPPUNIT_ASSERT(info.mAddress == (SocketAddress{ "10.0.0.9", 8080 }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1'700'000'000'123), info.mIncarnation);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), info.mSequence);
+    CPPUNIT_ASSERT_EQUAL(5U, info.mSlots);
+    CPPUNIT_ASSERT(info.mState == UpstreamState::Ready);
+  }
+
+  void ForeignHeartbeatsNameNoUpstream()
+  {
+    const std::vector<std::pair<std::string, Json>> changes = {
+      { "service", 7 },        { "service", "" },         { "address", "elsewhere" },
+      { "address", nullptr },  { "zone", Json::array() }, { "slots", "5" },
+      { "slots", -1 },         { "state", "asleep" },     { "sequence", 1.5 },
+      { "born", "yesterday" },
+    };
+    for (const auto& [name, value] : changes) {
+      Json beat = Heartbeat();
+      beat[name] = value;
+      CPPUNIT_ASSERT_MESSAGE(name, !DecodeCall(MakeCall("PUT", "/instances/i-1", beat.dump())));
+    }
+    for (const char* const name : { "service", "address", "zone", "slots", "state", "sequence" }) {
+      Json beat = Heartbeat();
+      beat.erase(name);
+      CPPUNIT_ASSERT_MESSAGE(name, !DecodeCall(MakeCall("PUT", "/instances/i-1", beat.dump())));
+    }
+    for (const char* const body : { "", "{", "[]", "\xff\xfe", "null", "7" }) {
+      CPPUNIT_ASSERT_MESSAGE(body, !DecodeCall(MakeCall("PUT", "/instances/i-1", body)));
+    }
+    CPPUNIT_ASSERT(!DecodeCall(MakeCall("PUT", "/instances/", Heartbeat().dump())));
+  }
+
+  void LeavingIsRead()
+  {
+    const auto bare = DecodeCall(MakeCall("DELETE", "/instances/i-1"));
+    CPPUNIT_ASSERT(bare && bare->mKind == FleetCallKind::Leave);
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), bare->mUpstream.mId);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), bare->mUpstream.mIncarnation);
+    const auto told = DecodeCall(MakeCall("DELETE", "/instances/i-1", R"({"born":12})"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), told->mUpstream.mIncarnation);
+  }
+
+  void CallsAreTold()
+  {
+    const auto kind = [](const std::string& aMethod, const std::string& aPath) {
+      return DecodeCall(MakeCall(aMethod, aPath))->mKind;
+    };
+    CPPUNIT_ASSERT(kind("PUT", "/config") == FleetCallKind::OfferDocument);
+    CPPUNIT_ASSERT(kind("GET", "/config") == FleetCallKind::ReadDocument);
+    CPPUNIT_ASSERT(kind("POST", "/config") == FleetCallKind::Unknown);
+    CPPUNIT_ASSERT(kind("GET", "/ready") == FleetCallKind::CheckReady);
+    CPPUNIT_ASSERT(kind("GET", "/elsewhere") == FleetCallKind::Unknown);
+    HttpRequest resolve = MakeCall("GET", "/resolve");
+    resolve.mArguments["zone"] = "z";
+    CPPUNIT_ASSERT_EQUAL(std::string("z"), DecodeCall(resolve)->mDataCentre);
+  }
+
+  void DocumentIsRead()
+  {
+    const auto document = DecodeDocument(Document().dump());
+    CPPUNIT_ASSERT(document.has_value() && CheckRouting(*document).has_value());
+    CPPUNIT_ASSERT_EQUAL(DocumentVersion(7), document->mVersion);
+    const Route& gather = document->mRoutes[0];
+    CPPUNIT_ASSERT(gather.mTarget == RouteTarget::AllShards && gather.mRepeatable);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), gather.mServices.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(10), gather.mTopRecords);
+    CPPUNIT_ASSERT(gather.mObjective == milliseconds(100) && gather.mMaxAttempts == 2);
+    const Route& one = document->mRoutes[1];
+    // What is not named repeatable is not repeated, and one attempt is all it gets.
+    CPPUNIT_ASSERT(!one.mRepeatable && one.mMaxAttempts == 1);
+    CPPUNIT_ASSERT(one.mObjective == one.mTimeout);
+    CPPUNIT_ASSERT(document->mRoutes[2].mServices[0].mWeight == 3);
+    CPPUNIT_ASSERT_EQUAL(25U, document->mServices[0].mMaxConnections);
+    CPPUNIT_ASSERT(document->mLimits.mIdleTimeout == milliseconds(15000));
+  }
+
+  void UnreadableDocumentsAreRefused()
+  {
+    const std::string whole = Document().dump();
+    for (std::size_t length = 0; length < whole.size(); length += 7) {
+      CPPUNIT_ASSERT(!DecodeDocument(whole.substr(0, length)).has_value());
+    }
+    const std::vector<std::pair<std::string, Json>> changes = {
+      { "/version", "7" },
+      { "/version", -1 },
+      { "/routes", 3 },
+      { "/services", nullptr },
+      { "/routes/0/host", 4 },
+      { "/routes/0/timeout_ms", "x" },
+      { "/routes/0/gather", "s" },
+      { "/routes/0/gather/1", 5 },
+      { "/routes/1/service", 9 },
+      { "/routes/2/traffic_split", "s" },
+      { "/services/0/name", 1 },
+      { "/routes/0/top_k", "many" },
+    };
+    for (const auto& [path, value] : changes) {
+      Json changed = Document();
+      changed[Json::json_pointer(path)] = value;
+      CPPUNIT_ASSERT_MESSAGE(path, !DecodeDocument(changed.dump()).has_value());
+    }
+    Json late = Document();
+    late["routes"][0]["timeout_ms"] = 0;
+    CPPUNIT_ASSERT(!CheckRouting(*DecodeDocument(late.dump())).has_value());
+  }
+
+  void GatewaysAreBounded()
+  {
+    const std::vector<SocketAddress> many(100, { "10.0.0.1", 80 });
+    const Json body = Json::parse(EncodeGateways(many, milliseconds(2500)).mBody);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(64), body["addrs"].size());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), body["addrs"][0].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(2.5, body["ttl_s"].get<double>());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformWireTest);
--- /dev/null
+++ b/tests/test_routing.cpp
@@ -0,0 +1,157 @@
+// Guards against requests that reach a service which no route allows, and against invalid documents
+// that come into force.
+#include "document_state.h"
+#include "routing.h"
+#include "top_records.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace apricotyard;
+using std::chrono::milliseconds;
+
+namespace {
+
+Route
+MakeRoute(const std::string& aName, const std::string& aHost, const std::string& aPrefix)
+{
+  Route route;
+  route.mName = aName;
+  route.mHost = aHost;
+  route.mPathPrefix = aPrefix;
+  route.mTimeout = milliseconds(500);
+  route.mServices = { { "s", 1 } };
+  return route;
+}
+
+RoutingDocument
+MakeDocument()
+{
+  RoutingDocument document;
+  document.mVersion = 3;
+  document.mRoutes = { MakeRoute("short", "a.example", "/x/"),
+                       MakeRoute("long", "A.Example", "/x/y/"),
+                       MakeRoute("other", "b.example", "/") };
+  document.mServices = { { "s", 10 } };
+  return document;
+}
+
+std::string
+Found(const RoutingTable& aTable, const std::string& aHost, const std::string& aPath)
+{
+  const Route* const route = aTable.Find(aHost, aPath);
+  return route != nullptr ? route->mName : "";
+}
+
+} // namespace
+
+class RoutingTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RoutingTest);
+  CPPUNIT_TEST(LongestPrefixOfTheHostWins);
+  CPPUNIT_TEST(InvalidDocumentsAreRefused);
+  CPPUNIT_TEST(HighestVersionWins);
+  CPPUNIT_TEST(SnapshotHoldsTheDocument);
+  CPPUNIT_TEST(DamagedDocumentsAreNoticed);
+  CPPUNIT_TEST(GreatestRecordsAreMerged);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void LongestPrefixOfTheHostWins()
+  {
+    const RoutingTable table(MakeDocument());
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Found(table, "a.example", "/x/z"));
+    CPPUNIT_ASSERT_EQUAL(std::string("long"), Found(table, "a.example:80", "/x/y/z/q"));
+    CPPUNIT_ASSERT_EQUAL(std::string("long"), Found(table, "A.EXAMPLE", "/x/y/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Found(table, "a.example", "/x/yy"));
+    CPPUNIT_ASSERT_EQUAL(std::string(""), Found(table, "a.example", "/x"));
+    CPPUNIT_ASSERT_EQUAL(std::string(""), Found(table, "a.example", "/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), Found(table, "b.example", "/x/y/z"));
+    CPPUNIT_ASSERT_EQUAL(std::string(""), Found(table, "c.example", "/x/y/z"));
+  }
+
+  void InvalidDocumentsAreRefused()
+  {
+    CPPUNIT_ASSERT(CheckRouting(MakeDocument()).has_value());
+    const std::vector<std::pair<std::string, std::function<void(RoutingDocument&)>>> mistakes = {
+      { "unknown service",
+        [](auto& aDoc) {
+          aDoc.mRoutes[0].mServices = { { "t", 1 } };
+        } },
+      { "no service", [](auto& aDoc) { aDoc.mRoutes[0].mServices.clear(); } },
+      { "same place", [](auto& aDoc) { aDoc.mRoutes[1].mPathPrefix = "/x/"; } },
+      { "no weight",
+        [](auto& aDoc) {
+          aDoc.mRoutes[0].mServices = { { "s", 0 }, { "s", 0 } };
+        } },
+      { "negative weight",
+        [](auto& aDoc) {
+          aDoc.mRoutes[0].mServices = { { "s", 2 }, { "s", -1 } };
+        } },
+      { "no timeout", [](auto& aDoc) { aDoc.mRoutes[0].mTimeout = Duration::zero(); } },
+      { "no slash", [](auto& aDoc) { aDoc.mRoutes[0].mPathPrefix = "/x"; } },
+    };
+    for (const auto& [name, make] : mistakes) {
+      RoutingDocument document = MakeDocument();
+      make(document);
+      CPPUNIT_ASSERT_MESSAGE(name, !CheckRouting(document).has_value());
+    }
+  }
+
+  void HighestVersionWins()
+  {
+    int changes = 0;
+    DocumentState state([&changes] { ++changes; });
+    const StateMachine machine = state.Machine();
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), machine.mApply(1, EncodeDocument({ 7, "seven" })));
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), machine.mApply(2, EncodeDocument({ 5, "five" })));
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), machine.mApply(3, EncodeDocument({ 7, "other" })));
+    CPPUNIT_ASSERT_EQUAL(std::string("seven"), state.Current().mBytes);
+    CPPUNIT_ASSERT_EQUAL(std::string("9"), machine.mApply(4, EncodeDocument({ 9, "nine" })));
+    CPPUNIT_ASSERT_EQUAL(std::string("nine"), state.Current().mBytes);
+    CPPUNIT_ASSERT_EQUAL(2, changes);
+  }
+
+  void SnapshotHoldsTheDocument()
+  {
+    DocumentState first([] {});
+    const std::string text(100'000, 'r');
+    first.Machine().mApply(1, EncodeDocument({ 4, text }));
+    CPPUNIT_ASSERT(first.Packed().size() < text.size() / 10);
+    DocumentState second([] {});
+    CPPUNIT_ASSERT(second.Machine().mRestore(first.Machine().mSnapshot()).has_value());
+    CPPUNIT_ASSERT_EQUAL(DocumentVersion(4), second.Current().mVersion);
+    CPPUNIT_ASSERT(second.Current().mBytes == text);
+    // The snapshot of a group without a document.
+    DocumentState empty([] {});
+    CPPUNIT_ASSERT(empty.Machine().mRestore(DocumentState([] {}).Machine().mSnapshot()));
+    CPPUNIT_ASSERT_EQUAL(DocumentVersion(0), empty.Current().mVersion);
+  }
+
+  void DamagedDocumentsAreNoticed()
+  {
+    const std::string packed = EncodeDocument({ 4, std::string(1000, 'a') + "tail" });
+    for (std::size_t length = 0; length < packed.size(); ++length) {
+      CPPUNIT_ASSERT(!DecodeDocument(packed.substr(0, length)).has_value());
+    }
+    std::string huge = packed;
+    huge[14] = '\x7f';
+    CPPUNIT_ASSERT(!DecodeDocument(huge).has_value());
+    DocumentState state([] {});
+    CPPUNIT_ASSERT(!state.Machine().mRestore(packed.substr(0, 20)).has_value());
+  }
+
+  void GreatestRecordsAreMerged()
+  {
+    const std::string low(16, 'a');
+    const std::string mid(16, 'm');
+    const std::string high(16, '\xff');
+    CPPUNIT_ASSERT(MergeTopRecords({ low + high, mid }, 2) == high + mid);
+    // Equal records all count, and a remainder is not a record.
+    CPPUNIT_ASSERT(MergeTopRecords({ mid + "zzzz", mid + low }, 3) == mid + mid + low);
+    CPPUNIT_ASSERT(MergeTopRecords({ "zzz", "" }, 3).empty());
+    CPPUNIT_ASSERT(MergeTopRecords({ low }, 0).empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingTest);
