Call one near coordinator often and the others rarely; set up transfers for less

Cause: on the grown site every gateway called every coordinator four times a second: most of 74 MB between data centres; curl handles were reset and set up anew for each sub-request. Change: coordinators pass on all records and when they took them over, so one near coordinator suffices; the pause to the others grows with the number of gateways; constant options stay on pooled handles; shards far away are sent first.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -106,6 +106,7 @@
 
   static std::uint32_t VotersSeenBy(const LogStatus& aStatus);
   void DescribeDocument(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const;
+  void DescribeHosts(rpc::FleetSyncReply& aReply, TimePoint aNow) const;
   void RestoreUpstreams();
   void SaveUpstreams();
 
@@ -169,7 +170,7 @@
   }
   mSavedCursor = mRegistry.mCursor;
   rpc::FleetSyncReply hints;
-  for (const DirectoryRecord* const record : ChangedSince(mRegistry, 0)) {
+  for (const DirectoryRecord* const record : ChangedSince(mRegistry, 0, RecordScope::All)) {
     if (!record->mGone) {
       ToMessage(*record, Duration::zero(), *hints.add_records());
     }
@@ -277,9 +278,10 @@
                { { "coordinator", aIp }, { "reason", record.error().mMessage } });
       continue;
     }
-    ApplyRecord(mRegistry.mDirectory, *record, std::chrono::milliseconds(message.idle_ms()), now);
+    TakeOverRecord(mRegistry, *record, std::chrono::milliseconds(message.idle_ms()), now);
   }
   VouchRegistrar(mRegistry.mDirectory, aIp, aReply.self().incarnation(), now);
+  mRegistry.mTakeovers[aIp] = { aReply.self().incarnation(), now };
   for (const rpc::FleetHost& host : aReply.coordinators()) {
     if (host.ip() != mSelf.mIp) {
       mClient->AddCoordinator(host.ip());
@@ -416,7 +418,9 @@
 Coordinator::Sync(const rpc::FleetSyncRequest& aRequest)
 {
   const TimePoint now = SteadyNow();
+  RecordScope scope = RecordScope::All;
   if (auto host = FromMessage(aRequest.self())) {
+    scope = host->mRole == FleetRole::Coordinator ? RecordScope::Own : RecordScope::All;
     HearHost(mRegistry, *host, now);
     if (host->mRole == FleetRole::Coordinator && host->mIp != mSelf.mIp) {
       mClient->AddCoordinator(host->mIp);
@@ -430,20 +434,34 @@
   DescribeDocument(aRequest, reply);
   const bool sameRun = aRequest.cursor_incarnation() == mSelf.mIncarnation;
   reply.set_cursor(mRegistry.mCursor);
-  for (const DirectoryRecord* record : ChangedSince(mRegistry, sameRun ? aRequest.cursor() : 0)) {
-    ToMessage(*record, now - record->mVouchedAt, *reply.add_records());
+  const std::uint64_t cursor = sameRun ? aRequest.cursor() : 0;
+  for (const DirectoryRecord* record : ChangedSince(mRegistry, cursor, scope)) {
+    ToMessage(*record, now - LastVouched(mRegistry.mDirectory, *record), *reply.add_records());
   }
+  DescribeHosts(reply, now);
+  return reply;
+}
+
+void
+Coordinator::DescribeHosts(rpc::FleetSyncReply& aReply, TimePoint aNow) const
+{
   std::uint32_t gateways = 0;
-  *reply.add_coordinators() = ToMessage(mSelf);
   for (const auto& [ip, known] : mRegistry.mHosts) {
-    if (known.mHost.mRole == FleetRole::Coordinator) {
-      *reply.add_coordinators() = ToMessage(known.mHost);
-    } else if (known.mHeardAt + kGatewayFresh > now) {
-      ++gateways;
+    if (known.mHost.mRole == FleetRole::Gateway) {
+      gateways += IsFresh(known, aNow) ? 1 : 0;
+      continue;
+    }
+    rpc::FleetHost& host = *aReply.add_coordinators();
+    host.set_ip(ip);
+    const auto takeover = mRegistry.mTakeovers.find(ip);
+    if (takeover == mRegistry.mTakeovers.end()) {
+      host.set_idle_ms(-1);
+    } else {
+      host.set_incarnation(takeover->second.mIncarnation);
+      host.set_idle_ms((aNow - takeover->second.mAt) / std::chrono::milliseconds(1));
     }
   }
-  reply.set_gateways(gateways);
-  return reply;
+  aReply.set_gateways(gateways);
 }
 
 void
--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <thread>
 
 #include <grpcpp/grpcpp.h>
@@ -55,6 +56,10 @@
   // Raised with each join request.
   std::uint64_t mJoinNumber = 0;
   bool mStopping = false;
+  Duration mSecondaryPause{};
+  // Coordinators that answered last, by whether they are in another data centre, and address. The
+  // first one is the primary.
+  std::set<std::pair<bool, std::string>> mReachable;
 };
 
 class CoordinatorLink
@@ -133,6 +138,7 @@
     }
     mReachable = true;
     mFailures = 0;
+    NoteReachable(reply.self().data_centre());
     const bool fetched = !reply.document().empty();
     if (fetched) {
       absl::MutexLock lock(&mShared.mMutex);
@@ -157,6 +163,7 @@
                { { "coordinator", mAddress }, { "reason", aStatus.error_message() } });
     }
     mReachable = false;
+    NoteUnreachable();
     // A new connection does not wait for the back-off of the old one.
     if (++mFailures >= kSilentCalls || aStatus.error_code() == grpc::StatusCode::UNAVAILABLE) {
       mStub = OpenStub(mAddress, mSettings.mSecurity);
@@ -183,6 +190,29 @@
     }
   }
 
+  void NoteReachable(const std::string& aDataCentre)
+  {
+    absl::MutexLock lock(&mShared.mMutex);
+    mPlace = { aDataCentre != mSettings.mDataCentre, mAddress };
+    mShared.mReachable.insert(mPlace);
+  }
+
+  void NoteUnreachable()
+  {
+    absl::MutexLock lock(&mShared.mMutex);
+    mShared.mReachable.erase(mPlace);
+  }
+
+  Duration NextPause() const
+  {
+    mShared.mMutex.AssertHeld();
+    if (mFailures > 0 && mFailures < kQuickRetries) {
+      return std::min(kRetryPause, mSettings.mPause);
+    }
+    const bool primary = mShared.mReachable.empty() || *mShared.mReachable.begin() == mPlace;
+    return primary ? mSettings.mPause : std::max(mSettings.mPause, mShared.mSecondaryPause);
+  }
+
   // Returns false when the link must end.
   bool Pause()
   {
@@ -190,9 +220,7 @@
     const auto due = [this] {
       return mShared.mStopping || mFetchNow || mShared.mKick != mSeenKick;
     };
-    const bool retrySoon = mFailures > 0 && mFailures < kQuickRetries;
-    const Duration pause = retrySoon ? std::min(kRetryPause, mSettings.mPause) : mSettings.mPause;
-    mShared.mMutex.AwaitWithTimeout(absl::Condition(&due), absl::FromChrono(pause));
+    mShared.mMutex.AwaitWithTimeout(absl::Condition(&due), absl::FromChrono(NextPause()));
     mFetchNow = false;
     return !mShared.mStopping;
   }
@@ -215,6 +243,7 @@
   std::uint64_t mCursorIncarnation = 0;
   std::uint64_t mSeenKick = 0;
   std::uint64_t mSeenJoin = 0;
+  std::pair<bool, std::string> mPlace;
   // The version that the coordinator named last, unless it has just been fetched.
   DocumentVersion mKnownVersion = 0;
   bool mFetchNow = false;
@@ -293,6 +322,13 @@
   mState->mShared.mDocumentVersion = aVersion;
 }
 
+void
+FleetClient::SetSecondaryPause(Duration aPause)
+{
+  absl::MutexLock lock(&mState->mShared.mMutex);
+  mState->mShared.mSecondaryPause = aPause;
+}
+
 void
 FleetClient::AskToJoin(const std::string& aName,
                        const SocketAddress& aAddress,
--- a/src/fleet_client.h
+++ b/src/fleet_client.h
@@ -26,6 +26,9 @@
   Duration mPause = kFleetPause;
   // Whether the replies are to bring the document; coordinators have it from their group.
   bool mFetchDocuments = false;
+  // If set, one coordinator, of this data centre if possible, is called at every pause and the
+  // others at the secondary pause.
+  std::string mDataCentre;
 };
 
 // All methods only on the loop's thread.
@@ -47,6 +50,8 @@
   // What the next calls say of this host. Calls go out at once, without waiting for the pause.
   void SetSelf(const FleetHost& aSelf);
   void SetDocumentVersion(DocumentVersion aVersion);
+  // Without a call the secondary pause is the pause.
+  void SetSecondaryPause(Duration aPause);
   // Asks all coordinators at once to add this host to the control group.
   void AskToJoin(const std::string& aName, const SocketAddress& aAddress, std::string aIdentity);
   // The coordinators that were added.
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -15,6 +15,7 @@
   message.set_ip(aHost.mIp);
   message.set_public_address(FormatSocketAddress(aHost.mPublicAddress));
   message.set_serving(aHost.mServing);
+  message.set_pause_ms(static_cast<std::uint32_t>(aHost.mPause / std::chrono::milliseconds(1)));
   return message;
 }
 
@@ -33,6 +34,7 @@
   host.mIp = aMessage.ip();
   host.mPublicAddress = *address;
   host.mServing = aMessage.serving();
+  host.mPause = std::chrono::milliseconds(aMessage.pause_ms());
   return host;
 }
 
--- a/src/fleet_registry.cpp
+++ b/src/fleet_registry.cpp
@@ -57,6 +57,22 @@
   }
 }
 
+bool
+IsFresh(const KnownHost& aHost, TimePoint aNow)
+{
+  return aHost.mHeardAt + std::max(kGatewayFresh, kGatewayPauses * aHost.mHost.mPause) > aNow;
+}
+
+void
+TakeOverRecord(FleetRegistry& aRegistry,
+               const DirectoryRecord& aRecord,
+               Duration aIdle,
+               TimePoint aNow)
+{
+  ApplyRecord(aRegistry.mDirectory, aRecord, aIdle, aNow);
+  NumberChanges(aRegistry);
+}
+
 void
 ExpireRegistry(FleetRegistry& aRegistry, TimePoint aNow)
 {
@@ -65,15 +81,18 @@
 }
 
 std::vector<const DirectoryRecord*>
-ChangedSince(const FleetRegistry& aRegistry, std::uint64_t aCursor)
+ChangedSince(const FleetRegistry& aRegistry, std::uint64_t aCursor, RecordScope aScope)
 {
   std::vector<const DirectoryRecord*> changed;
   const Directory& directory = aRegistry.mDirectory;
   for (const auto& [id, number] : aRegistry.mChangedAt) {
     const auto record = directory.mRecords.find(id);
-    if (number > aCursor && record != directory.mRecords.end() &&
-        record->second.mRegistrar == directory.mHost &&
-        record->second.mRegistrarIncarnation == directory.mIncarnation) {
+    if (number <= aCursor || record == directory.mRecords.end()) {
+      continue;
+    }
+    const bool own = record->second.mRegistrar == directory.mHost &&
+                     record->second.mRegistrarIncarnation == directory.mIncarnation;
+    if (own || aScope == RecordScope::All) {
       changed.push_back(&record->second);
     }
   }
@@ -85,8 +104,7 @@
 {
   std::vector<const FleetHost*> gateways;
   for (const auto& [ip, known] : aRegistry.mHosts) {
-    if (known.mHost.mRole == FleetRole::Gateway && known.mHost.mServing &&
-        known.mHeardAt + kGatewayFresh > aNow) {
+    if (known.mHost.mRole == FleetRole::Gateway && known.mHost.mServing && IsFresh(known, aNow)) {
       gateways.push_back(&known.mHost);
     }
   }
--- a/src/fleet_registry.h
+++ b/src/fleet_registry.h
@@ -28,6 +28,8 @@
   SocketAddress mPublicAddress;
   // Gateways: takes new callers.
   bool mServing = false;
+  // Gateways: pause between two calls to the same coordinator.
+  Duration mPause{};
 };
 
 struct KnownHost
@@ -37,6 +39,13 @@
   TimePoint mHeardAt;
 };
 
+// The last time that this coordinator took over what another one knows.
+struct Takeover
+{
+  std::uint64_t mIncarnation = 0;
+  TimePoint mAt;
+};
+
 struct FleetRegistry
 {
   Directory mDirectory;
@@ -45,9 +54,12 @@
   std::map<std::string, std::uint64_t> mChangedAt;
   // By IP address.
   std::map<std::string, KnownHost> mHosts;
+  std::map<std::string, Takeover> mTakeovers;
 };
 
-// A gateway that has not called for this time is not named to callers. Three calls may be lost.
+// A gateway that has not called for so many of its pauses, and for the shortest time, is not named
+// to callers. Two calls may be lost.
+inline constexpr int kGatewayPauses = 3;
 inline constexpr Duration kGatewayFresh = std::chrono::milliseconds(1200);
 
 // Applies an announcement that an upstream sent to this coordinator.
@@ -71,9 +83,28 @@
 void
 ExpireRegistry(FleetRegistry& aRegistry, TimePoint aNow);
 
-// The records that this coordinator received itself and that changed after aCursor.
+// True while the gateway counts as running.
+bool
+IsFresh(const KnownHost& aHost, TimePoint aNow);
+
+// Applies a record of another coordinator.
+void
+TakeOverRecord(FleetRegistry& aRegistry,
+               const DirectoryRecord& aRecord,
+               Duration aIdle,
+               TimePoint aNow);
+
+enum class RecordScope : std::uint8_t
+{
+  // Those that this coordinator received itself.
+  Own,
+  // Those of every coordinator.
+  All,
+};
+
+// The records that changed after aCursor.
 std::vector<const DirectoryRecord*>
-ChangedSince(const FleetRegistry& aRegistry, std::uint64_t aCursor);
+ChangedSince(const FleetRegistry& aRegistry, std::uint64_t aCursor, RecordScope aScope);
 
 // The gateways that take callers, those of aDataCentre first.
 std::vector<const FleetHost*>
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -25,6 +25,11 @@
 constexpr Duration kCoordinatorSilence = std::chrono::seconds(2);
 // After that, upstreams get this time to announce themselves again.
 constexpr Duration kReturnGrace = std::chrono::seconds(6);
+// A gateway calls the coordinator of its data centre at every pause, and the others at a pause that
+// grows with the number of gateways, so that their calls cost little of a small coordinator and of
+// the links between data centres.
+constexpr Duration kPausePerGateway = std::chrono::milliseconds(25);
+constexpr Duration kLongestPause = std::chrono::milliseconds(1000);
 // Time before the end of the stop grace in which the process ends, finished or not.
 constexpr Duration kStopReserve = std::chrono::milliseconds(400);
 // Part of the stop grace in which new requests are still taken, because callers keep the list of
@@ -94,6 +99,7 @@
   bool mMajoritySeen = false;
   std::set<std::string> mVotersSeen;
   std::map<std::string, std::uint32_t> mGatewayCounts;
+  std::uint32_t mGateways = 0;
   TimePoint mHeardAt;
   // When a coordinator was heard again after all were silent.
   TimePoint mReturnedAt;
@@ -112,6 +118,7 @@
   client.mRpcPort = static_cast<std::uint16_t>(mSettings.mRpcPort);
   client.mSecurity = mSettings.mSecurity;
   client.mFetchDocuments = true;
+  client.mDataCentre = mSettings.mDataCentre;
   mClient = std::make_unique<FleetClient>(
     mLoop, client, [this](const std::string& aIp, const rpc::FleetSyncReply& aReply) {
       OnSync(aIp, aReply);
@@ -195,13 +202,26 @@
   VouchRegistrar(mDirectory, aIp, aReply.self().incarnation(), now);
   for (const rpc::FleetHost& host : aReply.coordinators()) {
     mClient->AddCoordinator(host.ip());
+    if (host.idle_ms() >= 0) {
+      VouchRegistrar(mDirectory,
+                     host.ip(),
+                     host.incarnation(),
+                     now - std::chrono::milliseconds(host.idle_ms()));
+    }
   }
   mGatewayCounts[aIp] = aReply.gateways();
   std::uint32_t gateways = 1;
   for (const auto& [ip, count] : mGatewayCounts) {
     gateways = std::max(gateways, count);
   }
-  mRelay.SetGateways(gateways);
+  if (gateways != mGateways) {
+    mGateways = gateways;
+    mRelay.SetGateways(gateways);
+    // The calls of all gateways together stay the same, however many there are.
+    mSelf.mPause = std::clamp(kPausePerGateway * gateways, kFleetPause, kLongestPause);
+    mClient->SetSecondaryPause(mSelf.mPause);
+    mClient->SetSelf(mSelf);
+  }
   if (changed) {
     PublishUpstreams();
   }
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -220,74 +220,99 @@
   return aCode == CURLE_SEND_ERROR ? TransferEnd::NotSent : TransferEnd::NotConnected;
 }
 
+// Options that are the same for every transfer; handles keep them while they are pooled.
 void
-ConfigureTransfer(HttpClient::State& aState, Transfer& aTransfer)
+ConfigureHandle(const HttpClient::State& aState, CURL* aEasy)
+{
+  curl_easy_setopt(aEasy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_PROXY, "");
+  curl_easy_setopt(aEasy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(aEasy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(aEasy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(aEasy, CURLOPT_PREREQFUNCTION, &OnRequest);
+  curl_easy_setopt(aEasy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(aEasy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  if (!aState.mSourceIp.empty()) {
+    curl_easy_setopt(aEasy, CURLOPT_INTERFACE, ("host!" + aState.mSourceIp).c_str());
+  }
+}
+
+void
+ConfigureMethod(CURL* aEasy, const ClientRequest& aRequest)
+{
+  if (aRequest.mMethod == "HEAD") {
+    curl_easy_setopt(aEasy, CURLOPT_NOBODY, 1L);
+  } else if (aRequest.mMethod != "GET" || !aRequest.mBody.empty()) {
+    curl_easy_setopt(aEasy, CURLOPT_CUSTOMREQUEST, aRequest.mMethod.c_str());
+    curl_easy_setopt(aEasy, CURLOPT_POSTFIELDSIZE, static_cast<long>(aRequest.mBody.size()));
+    curl_easy_setopt(aEasy, CURLOPT_POSTFIELDS, aRequest.mBody.data());
+  }
+}
+
+// Whether the handle differs from a fresh one in more than what ConfigureTransfer always sets.
+bool
+NeedsReset(const ClientRequest& aRequest)
+{
+  return aRequest.mMethod != "GET" || !aRequest.mBody.empty();
+}
+
+void
+ConfigureHeaders(Transfer& aTransfer)
+{
+  const ClientRequest& request = aTransfer.mRequest;
+  curl_slist* list = nullptr;
+  for (const HttpHeader& header : request.mHeaders) {
+    // libcurl takes a name with a colon and no value as an order to leave the header out.
+    std::string line = header.mName;
+    line.append(header.mValue.empty() ? ";" : ": ").append(header.mValue);
+    list = curl_slist_append(list, line.c_str());
+  }
+  // Without this header libcurl waits for a "100 Continue" before a large body.
+  if (!request.mBody.empty()) {
+    list = curl_slist_append(list, "Expect:");
+  }
+  if (!request.mForwarded) {
+    list = curl_slist_append(list, "Content-Type: application/json");
+  } else {
+    list = curl_slist_append(list, "Accept:");
+    // libcurl adds this header to a body by itself; a caller's own one stands in mHeaders.
+    const bool hasType = std::any_of(
+      request.mHeaders.begin(), request.mHeaders.end(), [](const HttpHeader& aHeader) {
+        return strcasecmp(aHeader.mName.c_str(), "content-type") == 0;
+      });
+    if (!hasType && (!request.mBody.empty() || request.mMethod != "GET")) {
+      list = curl_slist_append(list, "Content-Type:");
+    }
+  }
+  aTransfer.mHeaderList = list;
+  curl_easy_setopt(aTransfer.mEasy, CURLOPT_HTTPHEADER, list);
+}
+
+void
+ConfigureTransfer(Transfer& aTransfer)
 {
   CURL* const easy = aTransfer.mEasy;
   const ClientRequest& request = aTransfer.mRequest;
   const long millis =
     std::max<long>(1, std::chrono::ceil<std::chrono::milliseconds>(request.mTimeout).count());
-  const std::string url =
-    fmt::format("http://{}{}", FormatSocketAddress(request.mAddress), request.mPath);
+  std::string url = "http://" + FormatSocketAddress(request.mAddress);
+  url.append(request.mForwarded ? "/" : request.mPath);
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(
+    easy, CURLOPT_REQUEST_TARGET, request.mForwarded ? request.mPath.c_str() : nullptr);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
-  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, millis);
   curl_easy_setopt(easy,
                    CURLOPT_CONNECTTIMEOUT_MS,
                    std::clamp<long>(millis / kConnectTimeShare, 1, kMaxConnectMillis));
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.mFreshConnection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(request.mMaxIdle.count()));
-  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, aTransfer.mError.data());
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
-  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
-  if (!aState.mSourceIp.empty()) {
-    curl_easy_setopt(easy, CURLOPT_INTERFACE, ("host!" + aState.mSourceIp).c_str());
-  }
-  if (request.mForwarded) {
-    curl_easy_setopt(
-      easy, CURLOPT_URL, fmt::format("http://{}/", FormatSocketAddress(request.mAddress)).c_str());
-    curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request.mPath.c_str());
-    aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, "Accept:");
-  }
-  if (request.mMethod == "HEAD") {
-    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-  } else if (request.mMethod != "GET" || !request.mBody.empty()) {
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.mMethod.c_str());
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.mBody.size()));
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.mBody.data());
-  }
-  for (const HttpHeader& header : request.mHeaders) {
-    // libcurl takes a name with a colon and no value as an order to leave the header out.
-    const std::string line = header.mValue.empty()
-                               ? header.mName + ";"
-                               : fmt::format("{}: {}", header.mName, header.mValue);
-    aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, line.c_str());
-  }
-  // Without this header libcurl waits for a "100 Continue" before a large body.
-  aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, "Expect:");
-  if (!request.mForwarded) {
-    aTransfer.mHeaderList =
-      curl_slist_append(aTransfer.mHeaderList, "Content-Type: application/json");
-  } else if (!request.mBody.empty() || request.mMethod != "GET") {
-    // libcurl adds this header to a body by itself; a caller's own one stands in mHeaders.
-    const bool hasType =
-      std::any_of(request.mHeaders.begin(), request.mHeaders.end(), [](const HttpHeader& aHeader) {
-        return strcasecmp(aHeader.mName.c_str(), "content-type") == 0;
-      });
-    if (!hasType) {
-      aTransfer.mHeaderList = curl_slist_append(aTransfer.mHeaderList, "Content-Type:");
-    }
-  }
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aTransfer.mHeaderList);
+  ConfigureMethod(easy, request);
+  ConfigureHeaders(aTransfer);
 }
 
 } // namespace
@@ -297,8 +322,7 @@
 {
   curl_multi_remove_handle(mMulti, aTransfer.mEasy);
   curl_slist_free_all(aTransfer.mHeaderList);
-  if (mPool.size() < kMaxPooledHandles) {
-    curl_easy_reset(aTransfer.mEasy);
+  if (mPool.size() < kMaxPooledHandles && !NeedsReset(aTransfer.mRequest)) {
     mPool.push_back(aTransfer.mEasy);
   } else {
     curl_easy_cleanup(aTransfer.mEasy);
@@ -379,11 +403,12 @@
   transfer->mHandler = std::move(aHandler);
   if (mState->mPool.empty()) {
     transfer->mEasy = curl_easy_init();
+    ConfigureHandle(*mState, transfer->mEasy);
   } else {
     transfer->mEasy = mState->mPool.back();
     mState->mPool.pop_back();
   }
-  ConfigureTransfer(*mState, *transfer);
+  ConfigureTransfer(*transfer);
   CURL* const easy = transfer->mEasy;
   mState->mTransfers.emplace(id, std::move(transfer));
   curl_multi_add_handle(mState->mMulti, easy);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -203,8 +203,11 @@
   std::size_t PartsNeeded(const Relayed& aRelayed) const;
   void Schedule(const std::shared_ptr<Relayed>& aRelayed);
 
+  // The first send of every part.
+  void SendAll(const std::shared_ptr<Relayed>& aRelayed);
   // Sends a part to one more replica; false if none can take it.
   bool SendPart(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart);
+  void SendTo(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart, ReplicaView& aReplica);
   ReplicaView* Choose(const Relayed& aRelayed, const Part& aPart, TimePoint aNow);
   ClientRequest MakeRequest(const Relayed& aRelayed,
                             const ReplicaView& aReplica,
@@ -373,11 +376,7 @@
       CancelAll(*gone);
     }
   });
-  for (std::size_t i = 0; i < relayed.mParts.size(); ++i) {
-    if (!SendPart(aRelayed, i)) {
-      relayed.mParts[i].mFailed = !Park(aRelayed, i);
-    }
-  }
+  SendAll(aRelayed);
   Schedule(aRelayed);
   Evaluate(aRelayed);
 }
@@ -492,15 +491,46 @@
   return request;
 }
 
+// Parts that go to other data centres are sent first: writing a request takes a part of a
+// millisecond on a slow host, which then passes while the first ones are on their way.
+void
+Relay::State::SendAll(const std::shared_ptr<Relayed>& aRelayed)
+{
+  std::vector<std::pair<std::size_t, ReplicaView*>> local;
+  const TimePoint now = SteadyNow();
+  for (std::size_t i = 0; i < aRelayed->mParts.size(); ++i) {
+    ReplicaView* const replica = Choose(*aRelayed, aRelayed->mParts[i], now);
+    if (replica == nullptr) {
+      aRelayed->mParts[i].mFailed = !Park(aRelayed, i);
+    } else if (replica->mInfo.mDataCentre == mLimits.mDataCentre) {
+      local.emplace_back(i, replica);
+    } else {
+      SendTo(aRelayed, i, *replica);
+    }
+  }
+  for (const auto& [part, replica] : local) {
+    SendTo(aRelayed, part, *replica);
+  }
+}
+
 bool
 Relay::State::SendPart(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart)
+{
+  ReplicaView* const replica = Choose(*aRelayed, aRelayed->mParts[aPart], SteadyNow());
+  if (replica != nullptr) {
+    SendTo(aRelayed, aPart, *replica);
+  }
+  return replica != nullptr;
+}
+
+void
+Relay::State::SendTo(const std::shared_ptr<Relayed>& aRelayed,
+                     std::size_t aPart,
+                     ReplicaView& aReplica)
 {
   Part& part = aRelayed->mParts[aPart];
   const TimePoint now = SteadyNow();
-  ReplicaView* const replica = Choose(*aRelayed, part, now);
-  if (replica == nullptr) {
-    return false;
-  }
+  ReplicaView* const replica = &aReplica;
   const AttemptNumber number = mNextAttempt++;
   Attempt& attempt = mAttempts[number];
   attempt.mOwner = aRelayed;
@@ -527,7 +557,6 @@
       OnSecondSendDue(aRelayed, aPart);
     });
   }
-  return true;
 }
 
 bool
--- a/tests/test_fleet_registry.cpp
+++ b/tests/test_fleet_registry.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(SilentUpstreamsExpire);
   CPPUNIT_TEST(CallersGetTheGatewaysOfTheirDataCentre);
   CPPUNIT_TEST(StaleAndLeavingGatewaysAreNotNamed);
+  CPPUNIT_TEST(SlowCallersStayFreshForThreePauses);
   CPPUNIT_TEST(CallOfAnEarlierProcessIsIgnored);
   CPPUNIT_TEST(HintFileKeepsTheLastVersion);
   CPPUNIT_TEST_SUITE_END();
@@ -94,10 +95,12 @@
     FleetRegistry first = MakeRegistry("c1");
     FleetRegistry second = MakeRegistry("c2");
     RegisterUpstream(first, Beat("u", 5, 9), kStart);
-    const DirectoryRecord beat = *ChangedSince(first, 0).front();
-    ApplyRecord(second.mDirectory, beat, Duration::zero(), kStart);
+    const DirectoryRecord beat = *ChangedSince(first, 0, RecordScope::Own).front();
+    TakeOverRecord(second, beat, Duration::zero(), kStart);
+    CPPUNIT_ASSERT(ChangedSince(second, 0, RecordScope::Own).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), ChangedSince(second, 0, RecordScope::All).size());
     CPPUNIT_ASSERT(RemoveUpstream(second, "u", 0, kStart));
-    const DirectoryRecord notice = *ChangedSince(second, 0).front();
+    const DirectoryRecord notice = *ChangedSince(second, 0, RecordScope::All).front();
     for (const bool noticeFirst : { true, false }) {
       Directory gateway;
       gateway.mHost = "g";
@@ -119,7 +122,7 @@
     UpstreamInfo draining = Beat("u", 5, 30);
     draining.mState = UpstreamState::Draining;
     RegisterUpstream(registry, draining, kStart + seconds(20));
-    const auto changed = ChangedSince(registry, cursor);
+    const auto changed = ChangedSince(registry, cursor, RecordScope::Own);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), changed.size());
     CPPUNIT_ASSERT(changed.front()->mInfo.mState == UpstreamState::Draining);
   }
@@ -130,9 +133,9 @@
     RegisterUpstream(registry, Beat("u", 5, 1), kStart);
     const std::uint64_t cursor = registry.mCursor;
     ExpireRegistry(registry, kStart + seconds(4));
-    CPPUNIT_ASSERT(ChangedSince(registry, cursor).empty());
+    CPPUNIT_ASSERT(ChangedSince(registry, cursor, RecordScope::Own).empty());
     ExpireRegistry(registry, kStart + seconds(6));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), ChangedSince(registry, cursor).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), ChangedSince(registry, cursor, RecordScope::Own).size());
     CPPUNIT_ASSERT(ListUpstreams(registry.mDirectory).empty());
   }
 
@@ -160,6 +163,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), ServingGateways(registry, "a", kStart).size());
   }
 
+  void SlowCallersStayFreshForThreePauses()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    FleetHost slow = MakeGateway("10.0.0.1", "a");
+    slow.mPause = seconds(1);
+    HearHost(registry, slow, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         ServingGateways(registry, "a", kStart + milliseconds(2900)).size());
+    CPPUNIT_ASSERT(ServingGateways(registry, "a", kStart + milliseconds(3100)).empty());
+  }
+
   void CallOfAnEarlierProcessIsIgnored()
   {
     FleetRegistry registry = MakeRegistry("c1");
