Serve metrics on the settings' address; write logs to standard output; split forwarding and metrics off the relay

Cause: on-call engineers have only logs and metrics; the gateway and coordinator had no metrics and logs went to standard error. relay.cpp held header rules that are not its job.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -28,7 +28,7 @@
 
 # start_process NAME PROGRAM: starts build/PROGRAM with the settings $folder/NAME.toml.
 start_process() {
-  build/"$2" --settings "$folder/$1.toml" >"$folder/$1.out" 2>"$folder/$1.log" &
+  build/"$2" --settings "$folder/$1.toml" >"$folder/$1.log" 2>&1 &
   deployment_pids+=($!)
   echo $! >>"$folder/pids"
   echo $! >"$folder/$1.pid"
--- a/src/cmdline.h
+++ b/src/cmdline.h
@@ -12,7 +12,7 @@
 
 inline constexpr const char* kVersion = "0.1.0";
 
-// Exit codes of every program, listed in docs/operations.md.
+// Exit codes of every program, listed in docs/OPERATIONS.md.
 inline constexpr int kExitOk = 0;
 inline constexpr int kExitFailure = 1;
 inline constexpr int kExitUsage = 2;
--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -10,6 +10,7 @@
 #include "latest_file.h"
 #include "log.h"
 #include "loop_calls.h"
+#include "metrics_page.h"
 #include "raft_node.h"
 
 #include <algorithm>
@@ -106,6 +107,7 @@
 
   static std::uint32_t VotersSeenBy(const LogStatus& aStatus);
   void DescribeDocument(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const;
+  Expected<void> ListenForMetrics();
   void DescribeHosts(rpc::FleetSyncReply& aReply, TimePoint aNow) const;
   void RestoreUpstreams();
   void SaveUpstreams();
@@ -130,6 +132,18 @@
   DocumentState mState;
   std::unique_ptr<RaftNode> mLog;
   std::unique_ptr<FleetClient> mClient;
+  MetricsRegistry mMetrics;
+  std::unique_ptr<HttpServer> mMetricsServer;
+  Counter& mCalls = mMetrics.AddCounter("apricot_calls_total", "Calls of upstreams and operators.");
+  Counter& mRejectedCalls =
+    mMetrics.AddCounter("apricot_rejected_calls_total", "Calls that could not be read.");
+  Gauge& mVersionGauge =
+    mMetrics.AddGauge("apricot_document_version", "Version of the committed routing document.");
+  Gauge& mLeadingGauge = mMetrics.AddGauge("apricot_leading", "1 while this host leads.");
+  Gauge& mTermGauge = mMetrics.AddGauge("apricot_term", "Term of the control group.");
+  Gauge& mMembersGauge = mMetrics.AddGauge("apricot_members", "Members of the control group.");
+  Gauge& mUpstreamsGauge = mMetrics.AddGauge("apricot_upstreams", "Upstreams known here.");
+  Gauge& mGatewaysGauge = mMetrics.AddGauge("apricot_gateways", "Gateways heard recently.");
   std::unique_ptr<LatestFile> mHints;
   // The last change of the registry that mHints got.
   std::uint64_t mSavedCursor = 0;
@@ -142,6 +156,29 @@
   TimePoint mNextJoin;
 };
 
+Expected<void>
+Coordinator::ListenForMetrics()
+{
+  auto server = ServeMetrics(mLoop, mSettings.mMetricsAddress, mMetrics, [this] {
+    const LogStatus status = mLog->Status();
+    mVersionGauge.Set(static_cast<double>(mState.Current().mVersion));
+    mLeadingGauge.Set(status.mLeading ? 1 : 0);
+    mTermGauge.Set(static_cast<double>(status.mTerm));
+    mMembersGauge.Set(static_cast<double>(status.mMembers.size()));
+    mUpstreamsGauge.Set(static_cast<double>(ListUpstreams(mRegistry.mDirectory).size()));
+    mGatewaysGauge.Set(static_cast<double>(
+      std::count_if(mRegistry.mHosts.begin(), mRegistry.mHosts.end(), [](const auto& aEntry) {
+        return aEntry.second.mHost.mRole == FleetRole::Gateway &&
+               IsFresh(aEntry.second, SteadyNow());
+      })));
+  });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  mMetricsServer = *std::move(server);
+  return {};
+}
+
 // Announces the upstreams that the earlier process on this disk had registered. They renew at one
 // of the coordinators within their lease or expire.
 void
@@ -231,6 +268,9 @@
     });
   mClient->SetSelf(mSelf);
   AddSeeds(mSettings.mSeeds);
+  if (auto serving = ListenForMetrics(); !serving) {
+    return serving;
+  }
   RestoreUpstreams();
   mLoop.AddPeriodic(kExpireInterval, [this] { ExpireRegistry(mRegistry, SteadyNow()); });
   mLoop.AddPeriodic(kHintInterval, [this] { SaveUpstreams(); });
@@ -468,7 +508,9 @@
 Coordinator::HandleCall(const HttpRequest& aRequest, const HttpResponder& aRespond)
 {
   auto call = mDialect.mDecodeCall(aRequest);
+  mCalls.Add();
   if (!call) {
+    mRejectedCalls.Add();
     LogEvent(Event::FleetCallRejected,
              { { "path", aRequest.mPath }, { "reason", call.error().mMessage } });
     aRespond(ErrorResponse(call.error().mResult, call.error().mMessage));
@@ -675,6 +717,7 @@
   aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
   aReader.Address("control_address", Presence::Required, aSettings.mControlAddress);
   aReader.Address("directory_address", Presence::Required, aSettings.mDirectoryAddress);
+  aReader.Address("metrics_address", Presence::Optional, aSettings.mMetricsAddress);
   aReader.Integer("rpc_port", Presence::Required, 1, kMaxPort, aSettings.mRpcPort);
   aReader.Integer("peer_port", Presence::Required, 1, kMaxPort, aSettings.mPeerPort);
   aReader.Text("data_folder", Presence::Required, 1, 4096, aSettings.mDataFolder);
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -21,6 +21,8 @@
   SocketAddress mControlAddress;
   // Where callers ask for gateways.
   SocketAddress mDirectoryAddress;
+  // Where metrics are served; port 0 for none.
+  SocketAddress mMetricsAddress;
   // The same on every coordinator: the port of the Fleet service and of the consensus.
   std::int64_t mRpcPort = 0;
   std::int64_t mPeerPort = 0;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include "fleet_client.h"
 #include "fleet_messages.h"
 #include "log.h"
+#include "metrics_page.h"
 #include "relay.h"
 
 #include <algorithm>
@@ -44,7 +45,7 @@
     : mLoop(aLoop)
     , mSettings(aSettings)
     , mDialect(aDialect)
-    , mRelay(aLoop, aDialect, MakeRelaySettings(aSettings))
+    , mRelay(aLoop, aDialect, MakeRelaySettings(aSettings), mMetrics)
   {
     mSelf.mName = aSettings.mHost;
     mSelf.mDataCentre = aSettings.mDataCentre;
@@ -72,6 +73,7 @@
   }
 
   Expected<void> Listen();
+  Expected<void> ListenForMetrics();
   void OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void Consider(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void Adopt();
@@ -85,10 +87,12 @@
   const Dialect& mDialect;
   FleetHost mSelf;
   Directory mDirectory;
+  MetricsRegistry mMetrics;
   Relay mRelay;
   std::unique_ptr<FleetClient> mClient;
   std::unique_ptr<HttpServer> mCallers;
   std::unique_ptr<HttpServer> mReady;
+  std::unique_ptr<HttpServer> mMetricsServer;
   // The version in force here; 0 at first.
   DocumentVersion mVersion = 0;
   DocumentVersion mCandidateVersion = 0;
@@ -100,6 +104,14 @@
   std::set<std::string> mVotersSeen;
   std::map<std::string, std::uint32_t> mGatewayCounts;
   std::uint32_t mGateways = 0;
+  std::size_t mUpstreams = 0;
+  Gauge& mVersionGauge = mMetrics.AddGauge("apricot_document_version",
+                                           "Version of the routing document in force here.");
+  Gauge& mGatewaysGauge =
+    mMetrics.AddGauge("apricot_gateways", "Gateways that share the replicas, as known here.");
+  Gauge& mUpstreamsGauge = mMetrics.AddGauge("apricot_upstreams", "Upstreams known here.");
+  Gauge& mSinceCoordinatorGauge = mMetrics.AddGauge(
+    "apricot_coordinator_silence_seconds", "Time since a coordinator answered last.");
   TimePoint mHeardAt;
   // When a coordinator was heard again after all were silent.
   TimePoint mReturnedAt;
@@ -162,6 +174,23 @@
     return tl::unexpected(ready.error());
   }
   mReady = *std::move(ready);
+  return ListenForMetrics();
+}
+
+Expected<void>
+Gateway::ListenForMetrics()
+{
+  auto server = ServeMetrics(mLoop, mSettings.mMetricsAddress, mMetrics, [this] {
+    mRelay.UpdateGauges();
+    mVersionGauge.Set(static_cast<double>(mVersion));
+    mGatewaysGauge.Set(mGateways);
+    mUpstreamsGauge.Set(static_cast<double>(mUpstreams));
+    mSinceCoordinatorGauge.Set(std::chrono::duration<double>(SteadyNow() - mHeardAt).count());
+  });
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  mMetricsServer = *std::move(server);
   return {};
 }
 
@@ -296,7 +325,9 @@
 Gateway::PublishUpstreams()
 {
   TakeChanges(mDirectory);
-  mRelay.SetUpstreams(ListUpstreams(mDirectory));
+  const std::vector<UpstreamInfo> upstreams = ListUpstreams(mDirectory);
+  mUpstreams = upstreams.size();
+  mRelay.SetUpstreams(upstreams);
 }
 
 void
@@ -345,6 +376,7 @@
   aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
   aReader.Address("caller_address", Presence::Required, aSettings.mCallerAddress);
   aReader.Address("ready_address", Presence::Required, aSettings.mReadyAddress);
+  aReader.Address("metrics_address", Presence::Optional, aSettings.mMetricsAddress);
   aReader.Integer("rpc_port", Presence::Required, 1, kMaxPort, aSettings.mRpcPort);
   aReader.AddressList("seeds", Presence::Required, aSettings.mSeeds);
   aReader.Number("extra_sends.ratio", Presence::Optional, 0, 1, aSettings.mExtraSends.mRatio);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -21,6 +21,8 @@
   SocketAddress mCallerAddress;
   // Where the readiness of this host is asked.
   SocketAddress mReadyAddress;
+  // Where metrics are served; port 0 for none.
+  SocketAddress mMetricsAddress;
   // The port of the Fleet service on every coordinator.
   std::int64_t mRpcPort = 0;
   // Control addresses of some coordinators.
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -107,9 +107,14 @@
     if (aSink) {
       aSink(line);
     } else {
-      fmt::print(stderr, "{}\n", line);
+      // A reader that has gone away ends the log, not the process.
+      std::fwrite(line.data(), 1, line.size(), stdout);
+      std::fputc('\n', stdout);
     }
   }
+  if (!aSink) {
+    std::fflush(stdout);
+  }
 }
 
 void
--- a/src/log.h
+++ b/src/log.h
@@ -1,4 +1,4 @@
-// Asynchronous logger: one line per event on standard error, key=value, through a bounded buffer.
+// Asynchronous logger: one line per event on standard output, key=value, through a bounded buffer.
 #ifndef APRICOTYARD_LOG_H
 #define APRICOTYARD_LOG_H
 
@@ -64,7 +64,7 @@
 std::string
 FormatLogLine(std::string_view aProgram, Event aEvent, std::span<const LogField> aFields);
 
-// Replaces standard error by aSink, for tests. Precondition: the logger is not running.
+// Replaces standard output by aSink, for tests. Precondition: the logger is not running.
 void
 SetLogSink(std::function<void(std::string_view)> aSink);
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,6 +1,8 @@
 #include "relay.h"
 
+#include "forwarding.h"
 #include "log.h"
+#include "relay_metrics.h"
 #include "relay_policy.h"
 #include "settings.h"
 #include "top_records.h"
@@ -8,7 +10,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <optional>
 #include <unordered_map>
 
 #include <fmt/format.h>
@@ -106,74 +107,18 @@
   WaitQueue<WaitingPart> mWaiting;
 };
 
-bool
-IsHopByHop(const std::string& aName)
-{
-  for (const char* const name : { "connection",
-                                  "keep-alive",
-                                  "proxy-connection",
-                                  "te",
-                                  "trailer",
-                                  "transfer-encoding",
-                                  "upgrade",
-                                  "content-length",
-                                  "expect" }) {
-    if (strcasecmp(aName.c_str(), name) == 0) {
-      return true;
-    }
-  }
-  return false;
-}
-
-// True if the Connection header, in aConnection, names aName as meant for one connection only.
-bool
-IsNamedByConnection(std::string_view aConnection, const std::string& aName)
-{
-  while (!aConnection.empty()) {
-    const std::size_t comma = aConnection.find(',');
-    std::string_view token = aConnection.substr(0, comma);
-    while (!token.empty() && token.front() == ' ') {
-      token.remove_prefix(1);
-    }
-    while (!token.empty() && token.back() == ' ') {
-      token.remove_suffix(1);
-    }
-    if (token.size() == aName.size() &&
-        strncasecmp(token.data(), aName.c_str(), token.size()) == 0) {
-      return true;
-    }
-    aConnection = comma == std::string_view::npos ? "" : aConnection.substr(comma + 1);
-  }
-  return false;
-}
-
-std::vector<HttpHeader>
-EndToEndHeaders(const std::vector<HttpHeader>& aHeaders, std::string_view aConnection)
-{
-  std::vector<HttpHeader> kept;
-  for (const HttpHeader& header : aHeaders) {
-    if (!IsHopByHop(header.mName) && !IsNamedByConnection(aConnection, header.mName)) {
-      kept.push_back(header);
-    }
-  }
-  return kept;
-}
-
-// The timeout parameter of a Keep-Alive header.
-std::optional<std::chrono::seconds>
-KeepAliveTimeout(std::string_view aHeader)
+RelayOutcome
+OutcomeOf(int aStatus, bool aLeavesOut)
 {
-  constexpr std::string_view kTimeout = "timeout=";
-  const std::size_t at = aHeader.find(kTimeout);
-  if (at == std::string_view::npos) {
-    return std::nullopt;
+  constexpr int kServiceUnavailable = 503;
+  constexpr int kBadGateway = 502;
+  if (aStatus == kServiceUnavailable) {
+    return RelayOutcome::Refused;
   }
-  const std::string_view digits = aHeader.substr(at + kTimeout.size());
-  long seconds = 0;
-  if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc()) {
-    return std::nullopt;
+  if (aStatus >= kBadGateway) {
+    return RelayOutcome::Failed;
   }
-  return std::chrono::seconds(seconds);
+  return aLeavesOut ? RelayOutcome::Partial : RelayOutcome::Whole;
 }
 
 long
@@ -187,12 +132,16 @@
 
 struct Relay::State : std::enable_shared_from_this<Relay::State>
 {
-  State(Loop& aLoop, const Dialect& aDialect, RelaySettings aSettings)
+  State(Loop& aLoop,
+        const Dialect& aDialect,
+        RelaySettings aSettings,
+        MetricsRegistry& aMetrics)
     : mLoop(aLoop)
     , mDialect(aDialect)
     , mSettings(std::move(aSettings))
     , mRng(mSettings.mSeed)
     , mClient(aLoop, mSettings.mSourceIp, 0)
+    , mMetrics(aMetrics)
   {
     mLimits.mDataCentre = mSettings.mDataCentre;
   }
@@ -241,6 +190,7 @@
   const RelaySettings mSettings;
   Rng mRng;
   HttpClient mClient;
+  RelayMetrics mMetrics;
   PlacementLimits mLimits;
   std::shared_ptr<const RoutingTable> mTable;
   std::map<std::string, std::unique_ptr<ReplicaView>> mReplicas;
@@ -255,8 +205,11 @@
   bool mStopping = false;
 };
 
-Relay::Relay(Loop& aLoop, const Dialect& aDialect, RelaySettings aSettings)
-  : mState(std::make_shared<State>(aLoop, aDialect, std::move(aSettings)))
+Relay::Relay(Loop& aLoop,
+             const Dialect& aDialect,
+             RelaySettings aSettings,
+             MetricsRegistry& aMetrics)
+  : mState(std::make_shared<State>(aLoop, aDialect, std::move(aSettings), aMetrics))
 {
 }
 
@@ -300,6 +253,19 @@
   return mState->mOpen;
 }
 
+void
+Relay::UpdateGauges()
+{
+  State& state = *mState;
+  const TimePoint now = SteadyNow();
+  state.mMetrics.SetOpen(state.mOpen);
+  for (auto& [name, service] : state.mServices) {
+    state.mMetrics.SetBudgetUsed(
+      name,
+      ExtraBudgetUsed(service.mBudget, state.mSettings.mExtraSends, state.mGateways, now));
+  }
+}
+
 void
 Relay::SetUpstreams(const std::vector<UpstreamInfo>& aUpstreams)
 {
@@ -371,6 +337,10 @@
   relayed.mRespond.OnCallerGone([this, weak = std::weak_ptr<Relayed>(aRelayed)] {
     if (const auto gone = weak.lock(); gone && !gone->mDone) {
       LogEvent(Event::CallerGone, { { "request", gone->mId } });
+      mMetrics.CountAnswer(gone->mRoute->mName,
+                           RelayOutcome::Abandoned,
+                           false,
+                           SteadyNow() - gone->mArrivedAt);
       gone->mDone = true;
       --mOpen;
       CancelAll(*gone);
@@ -602,11 +572,13 @@
 {
   Part& part = aRelayed->mParts[aPart];
   const TimePoint now = SteadyNow();
-  if (Choose(*aRelayed, part, now) == nullptr ||
-      !TryExtraSend(mServices[part.mService].mBudget, mSettings.mExtraSends, mGateways, now)) {
+  if (Choose(*aRelayed, part, now) == nullptr) {
     return false;
   }
-  return SendPart(aRelayed, aPart);
+  const bool allowed =
+    TryExtraSend(mServices[part.mService].mBudget, mSettings.mExtraSends, mGateways, now);
+  mMetrics.CountExtraSend(part.mService, allowed);
+  return allowed && SendPart(aRelayed, aPart);
 }
 
 void
@@ -683,6 +655,7 @@
       !success) {
     end = AttemptEnd::RanAndFailed;
   }
+  mMetrics.CountAttempt(part.mService, end);
   RecordEnd(attempt, end, aReply);
   if (relayed->mDone || part.mAnswered) {
     return;
@@ -894,6 +867,10 @@
     answered += part.mAnswered ? 1 : 0;
   }
   const bool late = aRelayed.mRoute != nullptr && now > aRelayed.mObjectiveAt;
+  mMetrics.CountAnswer(aRelayed.mRoute != nullptr ? aRelayed.mRoute->mName : "",
+                       OutcomeOf(aResponse.mStatus, answered < aRelayed.mParts.size()),
+                       late,
+                       now - aRelayed.mArrivedAt);
   const bool plain = aResponse.mStatus < kMultipleChoices && !late &&
                      answered == aRelayed.mParts.size() && sends == aRelayed.mParts.size();
   if (plain && ++mAnswers % kLogOneIn != 0 && !LogEnabled(LogLevel::Debug)) {
--- a/src/relay.h
+++ b/src/relay.h
@@ -6,6 +6,7 @@
 #include "dialect.h"
 #include "extra_budget.h"
 #include "http_client.h"
+#include "metrics.h"
 #include "placement.h"
 #include "routing.h"
 
@@ -26,8 +27,8 @@
 class Relay
 {
 public:
-  // Precondition: aLoop and aDialect outlive this object.
-  Relay(Loop& aLoop, const Dialect& aDialect, RelaySettings aSettings);
+  // Precondition: aLoop, aDialect and aMetrics outlive this object.
+  Relay(Loop& aLoop, const Dialect& aDialect, RelaySettings aSettings, MetricsRegistry& aMetrics);
   ~Relay();
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
@@ -49,6 +50,8 @@
 
   // Requests without an answer.
   std::size_t OpenRequests() const;
+  // Brings the gauges up to date, for a page of metrics.
+  void UpdateGauges();
 
   struct State;
 
--- /dev/null
+++ b/src/relay_metrics.cpp
@@ -0,0 +1,111 @@
+#include "relay_metrics.h"
+
+#include <fmt/format.h>
+
+namespace apricotyard {
+
+namespace {
+
+constexpr std::array<const char*, 5> kOutcomeNames = {
+  "whole", "partial", "refused", "failed", "abandoned",
+};
+constexpr std::array<const char*, 5> kEndNames = {
+  "answered", "ran_and_failed", "not_run", "misplaced", "lost",
+};
+
+} // namespace
+
+RelayMetrics::RelayMetrics(MetricsRegistry& aRegistry)
+  : mRegistry(aRegistry)
+  , mOpen(aRegistry.AddGauge("apricot_relay_open_requests", "Requests without an answer."))
+{
+}
+
+RelayMetrics::RouteMetrics&
+RelayMetrics::ForRoute(const std::string& aRoute)
+{
+  const auto [found, added] = mRoutes.try_emplace(aRoute);
+  RouteMetrics& metrics = found->second;
+  if (added) {
+    for (std::size_t i = 0; i < kOutcomes; ++i) {
+      metrics.mOutcomes[i] =
+        &mRegistry.AddCounter("apricot_relay_answers_total",
+                              "Relayed requests by how they ended.",
+                              fmt::format(R"(route="{}",outcome="{}")", aRoute, kOutcomeNames[i]));
+    }
+    const std::string label = fmt::format(R"(route="{}")", aRoute);
+    metrics.mLate = &mRegistry.AddCounter(
+      "apricot_relay_late_total", "Answers after the objective of their route.", label);
+    metrics.mLatency = &mRegistry.AddDistribution(
+      "apricot_relay_latency_seconds", "Time from the request to its answer.", label);
+  }
+  return metrics;
+}
+
+RelayMetrics::ServiceMetrics&
+RelayMetrics::ForService(const std::string& aService)
+{
+  const auto [found, added] = mServices.try_emplace(aService);
+  ServiceMetrics& metrics = found->second;
+  if (added) {
+    for (std::size_t i = 0; i < kEnds; ++i) {
+      metrics.mEnds[i] =
+        &mRegistry.AddCounter("apricot_attempts_total",
+                              "Requests to replicas by how they ended.",
+                              fmt::format(R"(service="{}",end="{}")", aService, kEndNames[i]));
+    }
+    const auto extra = [&](const char* aAllowed) {
+      return &mRegistry.AddCounter(
+        "apricot_extra_sends_total",
+        "Second and further sends, by whether the budget allowed them.",
+        fmt::format(R"(service="{}",allowed="{}")", aService, aAllowed));
+    };
+    metrics.mExtraAllowed = extra("yes");
+    metrics.mExtraDenied = extra("no");
+    metrics.mBudgetUsed = &mRegistry.AddGauge("apricot_extra_budget_used_ratio",
+                                              "Share of the budget for extra sends that is used.",
+                                              fmt::format(R"(service="{}")", aService));
+  }
+  return metrics;
+}
+
+void
+RelayMetrics::CountAnswer(const std::string& aRoute,
+                          RelayOutcome aOutcome,
+                          bool aLate,
+                          Duration aTook)
+{
+  RouteMetrics& metrics = ForRoute(aRoute);
+  metrics.mOutcomes.at(static_cast<std::size_t>(aOutcome))->Add();
+  if (aLate) {
+    metrics.mLate->Add();
+  }
+  metrics.mLatency->Record(aTook);
+}
+
+void
+RelayMetrics::CountAttempt(const std::string& aService, AttemptEnd aEnd)
+{
+  ForService(aService).mEnds.at(static_cast<std::size_t>(aEnd))->Add();
+}
+
+void
+RelayMetrics::CountExtraSend(const std::string& aService, bool aAllowed)
+{
+  ServiceMetrics& metrics = ForService(aService);
+  (aAllowed ? metrics.mExtraAllowed : metrics.mExtraDenied)->Add();
+}
+
+void
+RelayMetrics::SetBudgetUsed(const std::string& aService, double aShare)
+{
+  ForService(aService).mBudgetUsed->Set(aShare);
+}
+
+void
+RelayMetrics::SetOpen(std::size_t aRequests)
+{
+  mOpen.Set(static_cast<double>(aRequests));
+}
+
+} // namespace apricotyard
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -53,7 +53,7 @@
 {
 public:
   RelayFixture()
-    : mRelay(mLoop, mDialect, Settings())
+    : mRelay(mLoop, mDialect, Settings(), mMetrics)
   {
     auto server = HttpServer::Builder(mLoop, { kGatewayIp, kGatewayPort })
                     .ForForwarding()
@@ -137,6 +137,12 @@
 
   Loop& EventLoop() { return mLoop; }
   Relay& Tier() { return mRelay; }
+  // True if the page of metrics has this line.
+  bool Shows(const std::string& aLine)
+  {
+    mRelay.UpdateGauges();
+    return ("\n" + mMetrics.Text()).find("\n" + aLine + "\n") != std::string::npos;
+  }
 
 private:
   static RelaySettings Settings()
@@ -149,6 +155,7 @@
 
   Loop mLoop;
   Dialect mDialect{ TestNames(), {}, {}, {}, {} };
+  MetricsRegistry mMetrics;
   Relay mRelay;
   HttpClient mClient{ mLoop, kGatewayIp, 10 };
   std::unique_ptr<HttpServer> mServer;
@@ -303,6 +310,9 @@
     CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
     CPPUNIT_ASSERT_EQUAL(std::string("p0"), std::string(reply.Header("x-parts")));
     CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(reply.Header("x-missing")));
+    CPPUNIT_ASSERT(
+      fixture.Shows(R"(apricot_relay_answers_total{route="all",outcome="partial"} 1)"));
+    CPPUNIT_ASSERT(fixture.Shows("apricot_relay_open_requests 0"));
     // Well before the deadline of 800 ms.
     CPPUNIT_ASSERT(SteadyNow() - began < milliseconds(400));
   }
@@ -331,6 +341,8 @@
     CPPUNIT_ASSERT_EQUAL(503, reply.mStatus);
     CPPUNIT_ASSERT(std::stod(std::string(reply.Header("retry-after"))) > 0);
     CPPUNIT_ASSERT(replica.mGot.empty());
+    CPPUNIT_ASSERT(
+      fixture.Shows(R"(apricot_relay_answers_total{route="all",outcome="refused"} 1)"));
   }
 
   void ShedRequestGoesElsewhere()
