--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -229,6 +229,7 @@
   CPPUNIT_TEST(RefusalOfAllReplicasIsTrue);
   CPPUNIT_TEST(SlowReplicaGetsASecondSend);
   CPPUNIT_TEST(CrossedAnswerIsNotPassedOn);
+  CPPUNIT_TEST(WeightsAreKept);
   CPPUNIT_TEST(UnknownPathsAreNotFound);
   CPPUNIT_TEST(CallerThatLeavesIsWorkedForNoLonger);
   CPPUNIT_TEST(OpenRequestsAreAnsweredTrulyAtTheEnd);
@@ -426,6 +427,22 @@
     CPPUNIT_ASSERT(reply.mBody.find("not yours") == std::string::npos);
   }
 
+  void WeightsAreKept()
+  {
+    RelayFixture fixture;
+    FakeReplica& three = fixture.Add("s", Answers(200, "", "sig"));
+    FakeReplica& one = fixture.Add("t", Answers(200, "", "sig"));
+    Route route = OneService(true);
+    route.mServices = { { "s", 3 }, { "t", 1 } };
+    fixture.Begin(route);
+    for (int i = 0; i < 400; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/q").mStatus);
+    }
+    // The share of the first one lies within 0.1 of three quarters.
+    CPPUNIT_ASSERT(three.mGot.size() > 260 && three.mGot.size() < 340);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(400), three.mGot.size() + one.mGot.size());
+  }
+
   void UnknownPathsAreNotFound()
   {
     RelayFixture fixture;
