--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -79,12 +79,41 @@
   {
   }
 
+  // Precondition: mShared.mStopping is set.
   ~CoordinatorLink() { mThread.join(); }
 
+  // Ends the call under way.
+  void Cancel()
+  {
+    mShared.mMutex.AssertHeld();
+    if (mContext != nullptr) {
+      mContext->TryCancel();
+    }
+  }
+
   CoordinatorLink(const CoordinatorLink&) = delete;
   CoordinatorLink& operator=(const CoordinatorLink&) = delete;
 
 private:
+  // Runs aCall with a context that Cancel reaches.
+  template<typename Function>
+  grpc::Status Call(const Function& aCall)
+  {
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + kSyncTimeout);
+    {
+      absl::MutexLock lock(&mShared.mMutex);
+      if (mShared.mStopping) {
+        return { grpc::StatusCode::CANCELLED, "the process is stopping" };
+      }
+      mContext = &context;
+    }
+    const grpc::Status status = aCall(context);
+    absl::MutexLock lock(&mShared.mMutex);
+    mContext = nullptr;
+    return status;
+  }
+
   rpc::FleetSyncRequest NextRequest()
   {
     rpc::FleetSyncRequest request;
@@ -126,9 +155,8 @@
   {
     const rpc::FleetSyncRequest request = NextRequest();
     rpc::FleetSyncReply reply;
-    grpc::ClientContext context;
-    context.set_deadline(std::chrono::system_clock::now() + kSyncTimeout);
-    const grpc::Status status = mStub->Sync(&context, request, &reply);
+    const grpc::Status status =
+      Call([&](grpc::ClientContext& aContext) { return mStub->Sync(&aContext, request, &reply); });
     if (!status.ok()) {
       Failed(status);
       return;
@@ -158,7 +186,7 @@
 
   void Failed(const grpc::Status& aStatus)
   {
-    if (mReachable || mFailures == 0) {
+    if ((mReachable || mFailures == 0) && aStatus.error_code() != grpc::StatusCode::CANCELLED) {
       LogEvent(Event::CoordinatorLost,
                { { "coordinator", mAddress }, { "reason", aStatus.error_message() } });
     }
@@ -182,9 +210,8 @@
       request = *mShared.mJoin;
     }
     rpc::FleetJoinReply reply;
-    grpc::ClientContext context;
-    context.set_deadline(std::chrono::system_clock::now() + kSyncTimeout);
-    const grpc::Status status = mStub->Join(&context, request, &reply);
+    const grpc::Status status =
+      Call([&](grpc::ClientContext& aContext) { return mStub->Join(&aContext, request, &reply); });
     if (status.ok() && reply.accepted()) {
       LogEvent(Event::JoinAccepted, { { "coordinator", mAddress } });
     }
@@ -244,6 +271,7 @@
   std::uint64_t mSeenKick = 0;
   std::uint64_t mSeenJoin = 0;
   std::pair<bool, std::string> mPlace;
+  grpc::ClientContext* mContext = nullptr;
   // The version that the coordinator named last, unless it has just been fetched.
   DocumentVersion mKnownVersion = 0;
   bool mFetchNow = false;
@@ -281,6 +309,9 @@
   {
     absl::MutexLock lock(&mState->mShared.mMutex);
     mState->mShared.mStopping = true;
+    for (const auto& [ip, link] : mState->mLinks) {
+      link->Cancel();
+    }
   }
   mState->mLinks.clear();
 }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -105,13 +105,13 @@
   std::map<std::string, std::uint32_t> mGatewayCounts;
   std::uint32_t mGateways = 0;
   std::size_t mUpstreams = 0;
-  Gauge& mVersionGauge = mMetrics.AddGauge("apricot_document_version",
-                                           "Version of the routing document in force here.");
+  Gauge& mVersionGauge =
+    mMetrics.AddGauge("apricot_document_version", "Version of the routing document in force here.");
   Gauge& mGatewaysGauge =
     mMetrics.AddGauge("apricot_gateways", "Gateways that share the replicas, as known here.");
   Gauge& mUpstreamsGauge = mMetrics.AddGauge("apricot_upstreams", "Upstreams known here.");
-  Gauge& mSinceCoordinatorGauge = mMetrics.AddGauge(
-    "apricot_coordinator_silence_seconds", "Time since a coordinator answered last.");
+  Gauge& mSinceCoordinatorGauge = mMetrics.AddGauge("apricot_coordinator_silence_seconds",
+                                                    "Time since a coordinator answered last.");
   TimePoint mHeardAt;
   // When a coordinator was heard again after all were silent.
   TimePoint mReturnedAt;
@@ -232,10 +232,8 @@
   for (const rpc::FleetHost& host : aReply.coordinators()) {
     mClient->AddCoordinator(host.ip());
     if (host.idle_ms() >= 0) {
-      VouchRegistrar(mDirectory,
-                     host.ip(),
-                     host.incarnation(),
-                     now - std::chrono::milliseconds(host.idle_ms()));
+      VouchRegistrar(
+        mDirectory, host.ip(), host.incarnation(), now - std::chrono::milliseconds(host.idle_ms()));
     }
   }
   mGatewayCounts[aIp] = aReply.gateways();
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -276,8 +276,8 @@
   } else {
     list = curl_slist_append(list, "Accept:");
     // libcurl adds this header to a body by itself; a caller's own one stands in mHeaders.
-    const bool hasType = std::any_of(
-      request.mHeaders.begin(), request.mHeaders.end(), [](const HttpHeader& aHeader) {
+    const bool hasType =
+      std::any_of(request.mHeaders.begin(), request.mHeaders.end(), [](const HttpHeader& aHeader) {
         return strcasecmp(aHeader.mName.c_str(), "content-type") == 0;
       });
     if (!hasType && (!request.mBody.empty() || request.mMethod != "GET")) {
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -129,10 +129,7 @@
 
 struct Relay::State : std::enable_shared_from_this<Relay::State>
 {
-  State(Loop& aLoop,
-        const Dialect& aDialect,
-        RelaySettings aSettings,
-        MetricsRegistry& aMetrics)
+  State(Loop& aLoop, const Dialect& aDialect, RelaySettings aSettings, MetricsRegistry& aMetrics)
     : mLoop(aLoop)
     , mDialect(aDialect)
     , mSettings(std::move(aSettings))
@@ -259,8 +256,7 @@
   state.mMetrics.SetOpen(state.mOpen);
   for (auto& [name, service] : state.mServices) {
     state.mMetrics.SetBudgetUsed(
-      name,
-      ExtraBudgetUsed(service.mBudget, state.mSettings.mExtraSends, state.mGateways, now));
+      name, ExtraBudgetUsed(service.mBudget, state.mSettings.mExtraSends, state.mGateways, now));
   }
 }
 
@@ -335,10 +331,8 @@
   relayed.mRespond.OnCallerGone([this, weak = std::weak_ptr<Relayed>(aRelayed)] {
     if (const auto gone = weak.lock(); gone && !gone->mDone) {
       LogEvent(Event::CallerGone, { { "request", gone->mId } });
-      mMetrics.CountAnswer(gone->mRoute->mName,
-                           RelayOutcome::Abandoned,
-                           false,
-                           SteadyNow() - gone->mArrivedAt);
+      mMetrics.CountAnswer(
+        gone->mRoute->mName, RelayOutcome::Abandoned, false, SteadyNow() - gone->mArrivedAt);
       gone->mDone = true;
       --mOpen;
       CancelAll(*gone);
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -55,10 +55,9 @@
                               fmt::format(R"(service="{}",end="{}")", aService, kEndNames[i]));
     }
     const auto extra = [&](const char* aAllowed) {
-      return &mRegistry.AddCounter(
-        "apricot_extra_sends_total",
-        "Second and further sends, by whether the budget allowed them.",
-        fmt::format(R"(service="{}",allowed="{}")", aService, aAllowed));
+      return &mRegistry.AddCounter("apricot_extra_sends_total",
+                                   "Second and further sends, by whether the budget allowed them.",
+                                   fmt::format(R"(service="{}",allowed="{}")", aService, aAllowed));
     };
     metrics.mExtraAllowed = extra("yes");
     metrics.mExtraDenied = extra("no");
