--- a/tests/test_storage.cpp
+++ b/tests/test_storage.cpp
@@ -261,8 +261,6 @@
   // Whatever follows the last whole record is cut, and the log can be continued.
   void TornTailIsCut()
   {
-    // RapidCheck draws a random seed otherwise.
-    setenv("RC_PARAMS", "seed=20261204", 0); // NOLINT(concurrency-mt-unsafe)
     const bool held = rc::check("torn tail", [](const std::string& aGarbage, std::uint8_t aCut) {
       MemoryDisk disk(1);
       std::size_t whole = 0;
