Log which shards an answer lacks and where they were asked for

Cause: a partial answer's log line named neither the missing shards nor their replicas, so its cause could not be found from its id. Change: the line lists them, and whether the objective or the deadline was over. Measured: the relay test reads the line; no effect on answers.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <strings.h>
 
 namespace apricotyard {
@@ -104,6 +105,20 @@
   WaitQueue<WaitingPart> mWaiting;
 };
 
+// Every part without an answer with the replicas that were tried: SERVICE=ID+ID,SERVICE=...
+std::string
+MissingParts(const Relayed& aRelayed)
+{
+  std::string missing;
+  for (const Part& part : aRelayed.mParts) {
+    if (!part.mAnswered) {
+      missing += fmt::format(
+        "{}{}={}", missing.empty() ? "" : ",", part.mService, fmt::join(part.mTried, "+"));
+    }
+  }
+  return missing;
+}
+
 RelayOutcome
 OutcomeOf(int aStatus, bool aLeavesOut)
 {
@@ -877,6 +892,9 @@
              { "parts", aRelayed.mParts.size() },
              { "answered", answered },
              { "sends", sends },
+             { "missing", MissingParts(aRelayed) },
+             { "objective_over", aRelayed.mObjectiveOver },
+             { "deadline_over", aRelayed.mDeadlineOver },
              { "took_ms", (now - aRelayed.mArrivedAt) / std::chrono::milliseconds(1) } });
 }
 
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -1,5 +1,6 @@
 // Guards against changed requests and answers, merged answers that lie about their coverage,
 // requests that run twice, refusals that are not true, and work for callers that have left.
+#include "log.h"
 #include "relay.h"
 #include "test_address.h"
 
@@ -306,14 +307,23 @@
     fixture.Add("s0", Answers(200, std::string(16, 'a'), "p0"));
     fixture.Add("s1", Hangs(kept));
     fixture.Begin(Gather(2, 0.5));
+    // The log must tell which shard is missing and where it was asked for.
+    std::string logged;
+    SetLogSink([&logged](std::string_view aLine) { logged.append(aLine); });
+    StartLogger("test", LogLevel::Info);
     const TimePoint began = SteadyNow();
     const ClientReply reply = fixture.Get("/q");
+    StopLogger();
+    SetLogSink(nullptr);
     CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
     CPPUNIT_ASSERT_EQUAL(std::string("p0"), std::string(reply.Header("x-parts")));
     CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(reply.Header("x-missing")));
     CPPUNIT_ASSERT(
       fixture.Shows(R"(apricot_relay_answers_total{route="all",outcome="partial"} 1)"));
     CPPUNIT_ASSERT(fixture.Shows("apricot_relay_open_requests 0"));
+    CPPUNIT_ASSERT(logged.find("answered=1") != std::string::npos);
+    CPPUNIT_ASSERT(logged.find("missing=\"s1=i-1\"") != std::string::npos);
+    CPPUNIT_ASSERT(logged.find("objective_over=true") != std::string::npos);
     // Well before the deadline of 800 ms.
     CPPUNIT_ASSERT(SteadyNow() - began < milliseconds(400));
   }
