--- a/tests/test_contract_caller.cpp
+++ b/tests/test_contract_caller.cpp
@@ -146,6 +146,8 @@
     mPid = fork();
     if (mPid == 0) {
       const int fd = open(log.c_str(), O_CREAT | O_WRONLY | O_TRUNC | O_CLOEXEC, 0600);
+      // The log goes to standard output, problems of the settings to standard error.
+      dup2(fd, STDOUT_FILENO);
       dup2(fd, STDERR_FILENO);
       execl(program.c_str(), program.c_str(), "--settings", settings.c_str(), nullptr);
       _exit(127);
