Leave the document to the other links when a coordinator falls silent

Change: a link that fails forgets the version that it knew and gives up its turn. Test: FleetClientTest::SilentCoordinatorDoesNotKeepTheDocument.

--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -228,6 +228,11 @@
   {
     absl::MutexLock lock(&mShared.mMutex);
     mShared.mReachable.erase(mPlace);
+    // Leaves the document to the other links: a silent coordinator must not keep them from it.
+    mKnownVersion = 0;
+    if (mShared.mFetching == mAddress) {
+      mShared.mFetchingUntil = absl::InfinitePast();
+    }
   }
 
   Duration NextPause() const
--- a/tests/test_fleet_client.cpp
+++ b/tests/test_fleet_client.cpp
@@ -1,22 +1,70 @@
-// Guards against a host that does not stop in time because a coordinator is silent.
+// Guards against a host that does not stop in time because a coordinator is silent, and against one
+// that keeps an old document because of it.
+#include "fleet.grpc.pb.h"
 #include "fleet_client.h"
+#include "settings.h"
 #include "test_address.h"
 
+#include <atomic>
 #include <thread>
 
+#include <absl/synchronization/notification.h>
 #include <arpa/inet.h>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
+#include <grpcpp/grpcpp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 using namespace apricotyard;
 using std::chrono::milliseconds;
 
+namespace {
+
+// Answers some calls and then holds every further one until it is released.
+class FakeCoordinator final : public rpc::Fleet::Service
+{
+public:
+  FakeCoordinator(const std::string& aIp, std::uint16_t aPort, int aAnswers)
+    : mAnswers(aAnswers)
+  {
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(FormatSocketAddress({ aIp, aPort }),
+                             grpc::InsecureServerCredentials());
+    builder.RegisterService(this);
+    mServer = builder.BuildAndStart();
+    CPPUNIT_ASSERT(mServer != nullptr);
+  }
+
+  grpc::Status Sync(grpc::ServerContext* /*aContext*/,
+                    const rpc::FleetSyncRequest* aRequest,
+                    rpc::FleetSyncReply* aReply) override
+  {
+    if (mAnswers.fetch_sub(1) <= 0) {
+      mReleased.WaitForNotification();
+    }
+    aReply->set_document_version(5);
+    if (aRequest->wants_document()) {
+      aReply->set_document("document");
+    }
+    return grpc::Status::OK;
+  }
+
+  void Release() { mReleased.Notify(); }
+
+private:
+  std::atomic<int> mAnswers;
+  absl::Notification mReleased;
+  std::unique_ptr<grpc::Server> mServer;
+};
+
+} // namespace
+
 class FleetClientTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(FleetClientTest);
   CPPUNIT_TEST(SilentCoordinatorDoesNotDelayTheEnd);
+  CPPUNIT_TEST(SilentCoordinatorDoesNotKeepTheDocument);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,6 +94,35 @@
     CPPUNIT_ASSERT(SteadyNow() - began < milliseconds(300));
     close(fd);
   }
+
+  // One coordinator names a version and falls silent while the document is fetched from it; the
+  // other one has the document. It must arrive within one call's time-out of 700 ms and two pauses.
+  void SilentCoordinatorDoesNotKeepTheDocument()
+  {
+    constexpr std::uint16_t kPort = 7951;
+    FakeCoordinator silent(TestIp(22), kPort, 1);
+    FakeCoordinator healthy(TestIp(23), kPort, 1'000'000);
+    Loop loop;
+    bool arrived = false;
+    FleetClientSettings settings;
+    settings.mRpcPort = kPort;
+    settings.mSecurity.mPlaintext = true;
+    settings.mPause = milliseconds(200);
+    settings.mFetchDocuments = true;
+    FleetClient client(loop, settings, [&](const std::string&, const rpc::FleetSyncReply& aReply) {
+      if (!aReply.document().empty()) {
+        arrived = true;
+        loop.Stop();
+      }
+    });
+    client.AddCoordinator(TestIp(22));
+    std::this_thread::sleep_for(milliseconds(60));
+    client.AddCoordinator(TestIp(23));
+    loop.AddTimer(SteadyNow() + milliseconds(1200), [&loop] { loop.Stop(); });
+    loop.Run();
+    silent.Release();
+    CPPUNIT_ASSERT(arrived);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetClientTest);
