Open connections to likely replicas before requests need them

Cause: after a start or a change of routes the first gather opens a connection to every shard; a handshake takes a round trip and 6 ms of a replica's slot, so the first answers come late.

Ruled out: opening them at the list's first record (lists grow record by record while upstreams announce themselves; a round per change would open connections to replicas that are not chosen later).

Change: 100 ms after a change of replicas or routes the relay opens one connection to the replica of each routed service that placement would choose now. RelayTest::ConnectionsAreOpenBeforeTheFirstRequest fails without it (no connection is accepted).

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -28,6 +28,9 @@
 constexpr Duration kLoserGrace = std::chrono::milliseconds(250);
 // Replies of replicas are records or small documents.
 constexpr std::size_t kMaxReply = std::size_t{ 4 } * 1024 * 1024;
+// Changes of the lists of replicas and routes that come within this time are met by one round of
+// new connections.
+constexpr Duration kPrepareDelay = std::chrono::milliseconds(100);
 // One in so many plain successes is logged; everything else always is.
 constexpr std::uint64_t kLogOneIn = 64;
 // What a refused caller should wait before it comes again, spread so that callers do not return
@@ -168,6 +171,11 @@
   bool SendPart(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart);
   void SendTo(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart, ReplicaView& aReplica);
   ReplicaView* Choose(const Relayed& aRelayed, const Part& aPart, TimePoint aNow);
+  const PlacementLimits& LimitsOf(const RoutingTable& aTable, const std::string& aService);
+  // Opens connections before requests need them: a handshake takes a round trip and a place at the
+  // replica, which would make the first answers late.
+  void PrepareSoon();
+  void Prepare();
   ClientRequest MakeRequest(const Relayed& aRelayed,
                             const ReplicaView& aReplica,
                             TimePoint aNow) const;
@@ -212,6 +220,7 @@
   std::size_t mGateways = 1;
   std::size_t mOpen = 0;
   std::uint64_t mAnswers = 0;
+  TimerId mPrepareTimer = 0;
   bool mStopping = false;
 };
 
@@ -223,12 +232,16 @@
 {
 }
 
-Relay::~Relay() = default;
+Relay::~Relay()
+{
+  mState->mLoop.CancelTimer(mState->mPrepareTimer);
+}
 
 void
 Relay::SetRouting(std::shared_ptr<const RoutingTable> aRouting)
 {
   mState->mTable = std::move(aRouting);
+  mState->PrepareSoon();
 }
 
 void
@@ -301,6 +314,7 @@
   for (const auto& [id, replica] : mState->mReplicas) {
     mState->mServices[replica->mInfo.mService].mReplicas.push_back(replica.get());
   }
+  mState->PrepareSoon();
 }
 
 void
@@ -429,14 +443,51 @@
   if (service == mServices.end()) {
     return nullptr;
   }
-  const RoutedService* const limits = aRelayed.mTable->FindService(aPart.mService);
+  const PlacementLimits& limits = LimitsOf(*aRelayed.mTable, aPart.mService);
+  const Duration usual =
+    UsualLatency(mHistory[aRelayed.mRoute->mName], aRelayed.mRoute->mObjective);
+  return ChooseReplica(service->second.mReplicas, aPart.mTried, limits, usual, aNow, mRng);
+}
+
+const PlacementLimits&
+Relay::State::LimitsOf(const RoutingTable& aTable, const std::string& aService)
+{
+  const RoutedService* const service = aTable.FindService(aService);
   const ConnectionAllotment share =
-    AllotConnections(limits != nullptr ? limits->mMaxConnections : 1, mGateways);
+    AllotConnections(service != nullptr ? service->mMaxConnections : 1, mGateways);
   mLimits.mMaxRunning = share.mConnections;
   mLimits.mScarce = share.mScarce;
-  const Duration usual =
-    UsualLatency(mHistory[aRelayed.mRoute->mName], aRelayed.mRoute->mObjective);
-  return ChooseReplica(service->second.mReplicas, aPart.mTried, mLimits, usual, aNow, mRng);
+  return mLimits;
+}
+
+void
+Relay::State::PrepareSoon()
+{
+  if (mPrepareTimer == 0 && mTable != nullptr && !mStopping) {
+    mPrepareTimer = mLoop.AddTimer(SteadyNow() + kPrepareDelay, [this] { Prepare(); });
+  }
+}
+
+void
+Relay::State::Prepare()
+{
+  mPrepareTimer = 0;
+  const TimePoint now = SteadyNow();
+  std::set<std::string_view> prepared;
+  for (const Route& route : mTable->Document().mRoutes) {
+    const Duration usual = UsualLatency(mHistory[route.mName], route.mObjective);
+    for (const WeightedService& target : route.mServices) {
+      const auto service = mServices.find(target.mService);
+      if (service == mServices.end() || !prepared.insert(target.mService).second) {
+        continue;
+      }
+      const PlacementLimits& limits = LimitsOf(*mTable, target.mService);
+      if (const ReplicaView* const replica =
+            ChooseReplica(service->second.mReplicas, {}, limits, usual, now, mRng)) {
+        mClient.Prepare(replica->mInfo.mAddress);
+      }
+    }
+  }
 }
 
 ClientRequest
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -2,6 +2,7 @@
 // requests that run twice, refusals that are not true, and work for callers that have left.
 #include "log.h"
 #include "relay.h"
+#include "socket_address.h"
 #include "test_address.h"
 
 #include <arpa/inet.h>
@@ -214,6 +215,20 @@
   };
 }
 
+// A listening socket that does not block.
+int
+ListenOn(const SocketAddress& aAddress)
+{
+  const auto native = ToNative(aAddress);
+  CPPUNIT_ASSERT(native.has_value());
+  const int fd = socket(native->mStorage.ss_family, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  CPPUNIT_ASSERT_EQUAL(0, bind(fd, native->Raw(), native->mLength));
+  CPPUNIT_ASSERT_EQUAL(0, listen(fd, 8));
+  return fd;
+}
+
 } // namespace
 
 class RelayTest : public CppUnit::TestFixture
@@ -235,6 +250,7 @@
   CPPUNIT_TEST(CallerThatLeavesIsWorkedForNoLonger);
   CPPUNIT_TEST(OpenRequestsAreAnsweredTrulyAtTheEnd);
   CPPUNIT_TEST(StoppingGatewayAsksToClose);
+  CPPUNIT_TEST(ConnectionsAreOpenBeforeTheFirstRequest);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -519,6 +535,25 @@
     fixture.Tier().BeginStop();
     CPPUNIT_ASSERT_EQUAL(std::string("close"), std::string(fixture.Get("/q").Header("connection")));
   }
+
+  void ConnectionsAreOpenBeforeTheFirstRequest()
+  {
+    RelayFixture fixture;
+    FakeReplica& replica = fixture.Add("s", Answers(200, "", "s1"));
+    // A bare socket takes the server's place, so that its connections can be counted.
+    replica.mServer.reset();
+    const int listener = ListenOn(replica.mInfo.mAddress);
+    fixture.Begin(OneService(true));
+    fixture.EventLoop().AddTimer(SteadyNow() + milliseconds(300),
+                                 [&fixture] { fixture.EventLoop().Stop(); });
+    fixture.EventLoop().Run();
+    const int first = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+    const int second = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+    CPPUNIT_ASSERT(first >= 0);
+    CPPUNIT_ASSERT(second < 0);
+    close(first);
+    close(listener);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
