Keep connections where requests go, and no more of them than leave room for a return

The delay before a second send came from one histogram of near and far replicas, so near ones (92% within 8 ms) waited as long as far ones (16 ms). Callers' first requests on a connection were given no more time for the way than later ones.

Change: - placement adds the price of a handshake to replicas without an open connection; - the relay keeps up to two connections a service open and opens them again once a second; - a gateway may run two requests at a replica nearby where connections are scarce, one elsewhere; - second sends are timed by the latencies of near and of far replicas; - the objective's part for the way back is 24 ms for the first request of a connection, 12 ms for others; - idle connections of a gateway are bounded by its share of half of what the replicas accept.

Tests: PlacementTest::OpenConnectionsArePreferred, NearReplicasHaveRoomForASecondRequest, ConnectionsLeaveRoomForAReturn; HttpTest on first requests, prepared, cancelled, bounded and closed connections.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -24,7 +24,7 @@
 
 namespace {
 
-// Idle connections kept over all servers; half of the descriptors of the smallest host.
+// Idle connections kept over all servers at first; half of the descriptors of the smallest host.
 constexpr std::size_t kMaxIdleConnections = 2048;
 // The part of a transfer's time that may be spent on a new connection.
 constexpr int kConnectTimeShare = 2;
@@ -173,6 +173,7 @@
   std::map<std::pair<std::string, std::uint16_t>, std::unique_ptr<Server>> mServers;
   // Idle connections of all servers; the one that has been idle longest is at the front.
   std::list<ConnectionPtr> mIdle;
+  std::size_t mMaxIdle = kMaxIdleConnections;
   std::set<ConnectionPtr> mConnections;
   std::uint64_t mConnectionsOpened = 0;
 };
@@ -437,8 +438,8 @@
 void
 HttpClient::State::MakeIdle(const ConnectionPtr& aConnection)
 {
-  if (mIdle.size() >= kMaxIdleConnections) {
-    Close(ConnectionPtr(mIdle.front()));
+  while (!mIdle.empty() && mIdle.size() >= mMaxIdle) {
+    Close(mIdle.front());
   }
   aConnection->mPhase = Phase::Idle;
   aConnection->mTransfer = 0;
@@ -608,6 +609,23 @@
   }
 }
 
+void
+HttpClient::SetMaxIdle(std::size_t aCount)
+{
+  mState->mMaxIdle = std::min(aCount, kMaxIdleConnections);
+  while (mState->mIdle.size() > mState->mMaxIdle) {
+    mState->Close(mState->mIdle.front());
+  }
+}
+
+bool
+HttpClient::HasConnection(const SocketAddress& aAddress) const
+{
+  const auto server = mState->mServers.find({ aAddress.mIp, aAddress.mPort });
+  return server != mState->mServers.end() &&
+         (!server->second->mIdle.empty() || !server->second->mUnclaimed.empty());
+}
+
 void
 HttpClient::Cancel(TransferId aTransfer)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -82,6 +82,10 @@
   // Opens a connection ahead of the first request, unless one is open. Failures are ignored: the
   // request that needs the connection meets them as well.
   void Prepare(const SocketAddress& aAddress);
+  // Closes the connections that have been idle longest, now and later, so that at most aCount are.
+  void SetMaxIdle(std::size_t aCount);
+  // True if a request would find an idle connection, or one that is being opened.
+  bool HasConnection(const SocketAddress& aAddress) const;
   // Ends a transfer without calling its handler. Its connection is closed if the request was sent.
   // Unknown identifiers are ignored.
   void Cancel(TransferId aTransfer);
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -91,6 +91,8 @@
   bool mForwarding = false;
   // Targets of the requests whose headers are still being read.
   std::map<MHD_Connection*, std::string> mTargets;
+  // Connections without a request so far.
+  std::set<MHD_Connection*> mUnused;
   // The library must not be stopped while connections are suspended.
   std::set<std::shared_ptr<HttpResponder::Exchange>> mSuspended;
 };
@@ -183,6 +185,7 @@
   if (const auto target = aServer->mTargets.extract(aConnection); !target.empty()) {
     added.mRequest.mTarget = target.mapped();
   }
+  added.mRequest.mFirstOnConnection = aServer->mUnused.erase(aConnection) != 0;
   MHD_get_connection_values(aConnection, MHD_HEADER_KIND, CollectHeader, &added);
   MHD_get_connection_values(aConnection, MHD_GET_ARGUMENT_KIND, CollectArgument, &added);
   const MHD_ConnectionInfo* const info =
@@ -328,8 +331,12 @@
                  void** /*aSocket*/,
                  MHD_ConnectionNotificationCode aCode)
 {
-  if (aCode == MHD_CONNECTION_NOTIFY_CLOSED) {
-    (*static_cast<std::shared_ptr<HttpServer::State>*>(aClosure))->mTargets.erase(aConnection);
+  HttpServer::State& server = **static_cast<std::shared_ptr<HttpServer::State>*>(aClosure);
+  if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
+    server.mUnused.insert(aConnection);
+  } else {
+    server.mTargets.erase(aConnection);
+    server.mUnused.erase(aConnection);
   }
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -33,6 +33,8 @@
   // its order and spelling.
   std::string mTarget;
   std::vector<HttpHeader> mHeaderList;
+  // Whether the connection carried no request before.
+  bool mFirstOnConnection = false;
 
   // The value of a header, given in lower case, or an empty text.
   std::string_view Header(std::string_view aName) const;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -68,6 +68,9 @@
   if (aReplica.mInfo.mDataCentre != aLimits.mDataCentre) {
     cost += static_cast<double>(aLimits.mRemoteCost.count());
   }
+  if (!aReplica.mConnected) {
+    cost += static_cast<double>(aLimits.mConnectCost.count());
+  }
   if (SeemsPaused(aReplica, aUsual, aNow)) {
     cost += kPausedPenaltyUs;
   }
@@ -88,11 +91,25 @@
 } // namespace
 
 ConnectionAllotment
-AllotConnections(std::uint32_t aMaxConnections, std::size_t aGateways)
+AllotConnections(std::uint32_t aMaxConnections, std::size_t aGateways, std::size_t aDataCentres)
+{
+  const double usable = aMaxConnections * kConnectionUse;
+  const double share = usable / static_cast<double>(std::max<std::size_t>(aGateways, 1));
+  if (share >= 1.0) {
+    const auto whole = static_cast<std::size_t>(share);
+    return { whole, whole, false };
+  }
+  const double near =
+    static_cast<double>(aGateways) / static_cast<double>(std::max<std::size_t>(aDataCentres, 1));
+  return { usable >= near ? std::size_t{ 2 } : std::size_t{ 1 }, 1, true };
+}
+
+std::size_t
+PooledConnections(std::uint32_t aMaxConnections, std::size_t aReplicas, std::size_t aGateways)
 {
-  const double share =
-    aMaxConnections * kConnectionUse / static_cast<double>(std::max<std::size_t>(aGateways, 1));
-  return { std::max<std::size_t>(1, static_cast<std::size_t>(share)), share < 1.0 };
+  const double share = aMaxConnections * kConnectionUse * static_cast<double>(aReplicas) /
+                       static_cast<double>(std::max<std::size_t>(aGateways, 1));
+  return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
 double
@@ -125,8 +142,11 @@
   ReplicaView* best = nullptr;
   double bestCost = 0;
   for (ReplicaView* const replica : aReplicas) {
+    const std::size_t room = replica->mInfo.mDataCentre == aLimits.mDataCentre
+                               ? aLimits.mMaxRunning
+                               : aLimits.mMaxRunningRemote;
     if (replica->mInfo.mState != UpstreamState::Ready || replica->mMisplaced ||
-        aTried.contains(replica->mInfo.mId) || replica->mRunning.size() >= aLimits.mMaxRunning) {
+        aTried.contains(replica->mInfo.mId) || replica->mRunning.size() >= room) {
       continue;
     }
     const double cost = CostUs(*replica, aLimits, aUsual, aNow, aRng);
--- a/src/placement.h
+++ b/src/placement.h
@@ -36,6 +36,8 @@
   std::chrono::seconds mKeepsIdle{ 30 };
   // Another upstream answered at its address, so it is gone; its record has not ended yet.
   bool mMisplaced = false;
+  // A request would not have to wait for a new connection.
+  bool mConnected = true;
 };
 
 struct PlacementLimits
@@ -45,8 +47,12 @@
   // Added to the cost of a replica elsewhere for the use of the link. The time on the way is part
   // of its measured latency.
   Duration mRemoteCost = std::chrono::milliseconds(2);
-  // Requests that this gateway may run at one replica.
+  // Added to the cost of a replica that needs a new connection: a handshake takes a place at the
+  // replica for up to 6 ms, and a round trip.
+  Duration mConnectCost = std::chrono::milliseconds(8);
+  // Requests that this gateway may run at one replica of its own data centre, and elsewhere.
   std::size_t mMaxRunning = 4;
+  std::size_t mMaxRunningRemote = 4;
   // Name of this gateway, unique among them.
   std::string mHost;
   // There are too few connections for every gateway to keep one to every replica, so each keeps to
@@ -60,14 +66,23 @@
 
 struct ConnectionAllotment
 {
-  // Connections of one gateway to one replica, at least 1.
+  // Connections of one gateway to one replica of its data centre, and elsewhere; at least 1.
   std::size_t mConnections = 1;
+  std::size_t mRemoteConnections = 1;
   bool mScarce = false;
 };
 
-// Divides the connections that one replica accepts. Precondition: aGateways is at least 1.
+// Divides the connections that one replica accepts. If there are too few for all gateways, those of
+// its own data centre get a second one each if there is room: without it a gateway that answers two
+// requests at a time sends all of the second one to other data centres. Preconditions: aGateways
+// and aDataCentres are at least 1.
 ConnectionAllotment
-AllotConnections(std::uint32_t aMaxConnections, std::size_t aGateways);
+AllotConnections(std::uint32_t aMaxConnections, std::size_t aGateways, std::size_t aDataCentres);
+
+// Connections that one gateway may keep open to all replicas of a service together, at least 1.
+// Preconditions: as above.
+std::size_t
+PooledConnections(std::uint32_t aMaxConnections, std::size_t aReplicas, std::size_t aGateways);
 
 // A replica whose oldest request runs longer than this many times the usual latency is taken to
 // pause: work that is sent there waits as well.
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -20,9 +20,12 @@
 
 namespace {
 
-// Part of the objective that passes outside of the gateway: the caller's connection set-up, the way
-// here and back at 3 ms each, and writing the answer on a slow host.
-constexpr Duration kReturnTrip = std::chrono::milliseconds(18);
+// Part of the objective that passes outside of the gateway on a connection that the caller kept:
+// the way here and back at 3 ms each, and reading and writing on a slow host.
+constexpr Duration kReturnTrip = std::chrono::milliseconds(12);
+// The same for the first request on a connection: a handshake of 6 ms came before it, and often a
+// look-up of gateways on another new connection.
+constexpr Duration kFirstReturnTrip = std::chrono::milliseconds(24);
 // An attempt that lost against another one, or whose shard was left out, may still finish within
 // this time: its connection stays usable and its latency becomes known.
 constexpr Duration kLoserGrace = std::chrono::milliseconds(250);
@@ -31,6 +34,11 @@
 // Changes of the lists of replicas and routes that come within this time are met by one round of
 // new connections.
 constexpr Duration kPrepareDelay = std::chrono::milliseconds(100);
+// Replicas of each service to which a connection is kept open, if there are enough connections: the
+// second one is where a second send goes.
+constexpr std::size_t kPreparedReplicas = 2;
+// How often connections that replicas closed are opened again.
+constexpr Duration kPrepareInterval = std::chrono::milliseconds(1000);
 // One in so many plain successes is logged; everything else always is.
 constexpr std::uint64_t kLogOneIn = 64;
 // What a refused caller should wait before it comes again, spread so that callers do not return
@@ -91,6 +99,7 @@
   TransferId mTransfer = 0;
   TimePoint mSentAt;
   bool mFirst = true;
+  bool mNear = true;
   TimerId mGrace = 0;
 };
 
@@ -101,6 +110,15 @@
   std::size_t mPart = 0;
 };
 
+// Latencies of the first sends of one route.
+struct RouteLatency
+{
+  LatencyHistogram mAll;
+  // Over connections that were open: to replicas of this data centre, and to others.
+  LatencyHistogram mNear;
+  LatencyHistogram mFar;
+};
+
 struct ServiceState
 {
   std::vector<ReplicaView*> mReplicas;
@@ -171,6 +189,7 @@
   bool SendPart(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart);
   void SendTo(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart, ReplicaView& aReplica);
   ReplicaView* Choose(const Relayed& aRelayed, const Part& aPart, TimePoint aNow);
+  void NoteConnections(ServiceState& aService) const;
   const PlacementLimits& LimitsOf(const RoutingTable& aTable, const std::string& aService);
   // Opens connections before requests need them: a handshake takes a round trip and a place at the
   // replica, which would make the first answers late.
@@ -201,7 +220,7 @@
   void Finish(const std::shared_ptr<Relayed>& aRelayed, HttpResponse aResponse);
   void LogAnswer(const Relayed& aRelayed, const HttpResponse& aResponse);
 
-  LatencyHistogram& History(const Relayed& aRelayed) { return mHistory[aRelayed.mRoute->mName]; }
+  RouteLatency& History(const Relayed& aRelayed) { return mHistory[aRelayed.mRoute->mName]; }
 
   Loop& mLoop;
   const Dialect& mDialect;
@@ -214,10 +233,12 @@
   std::map<std::string, std::unique_ptr<ReplicaView>> mReplicas;
   std::unordered_map<std::string, ServiceState> mServices;
   // Latencies by route name.
-  std::map<std::string, LatencyHistogram> mHistory;
+  std::map<std::string, RouteLatency> mHistory;
   std::unordered_map<AttemptNumber, Attempt> mAttempts;
   AttemptNumber mNextAttempt = 1;
   std::size_t mGateways = 1;
+  // Data centres with replicas.
+  std::size_t mDataCentres = 1;
   std::size_t mOpen = 0;
   std::uint64_t mAnswers = 0;
   TimerId mPrepareTimer = 0;
@@ -254,6 +275,7 @@
 Relay::BeginStop()
 {
   mState->mStopping = true;
+  mState->mLoop.CancelTimer(mState->mPrepareTimer);
 }
 
 void
@@ -311,9 +333,12 @@
   for (auto& [name, service] : mState->mServices) {
     service.mReplicas.clear();
   }
+  std::set<std::string_view> dataCentres;
   for (const auto& [id, replica] : mState->mReplicas) {
+    dataCentres.insert(replica->mInfo.mDataCentre);
     mState->mServices[replica->mInfo.mService].mReplicas.push_back(replica.get());
   }
+  mState->mDataCentres = std::max<std::size_t>(dataCentres.size(), 1);
   mState->PrepareSoon();
 }
 
@@ -352,7 +377,10 @@
   }
   relayed.mDeadline = relayed.mArrivedAt + allowed;
   relayed.mObjectiveAt =
-    relayed.mArrivedAt + std::max<Duration>(route.mObjective - kReturnTrip, Duration::zero());
+    relayed.mArrivedAt +
+    std::max<Duration>(route.mObjective -
+                         (relayed.mRequest.mFirstOnConnection ? kFirstReturnTrip : kReturnTrip),
+                       Duration::zero());
   if (!PickParts(relayed)) {
     Finish(aRelayed, Refuse(Result::NoReplica, "too few replicas can take the request"));
     return;
@@ -445,7 +473,8 @@
   }
   const PlacementLimits& limits = LimitsOf(*aRelayed.mTable, aPart.mService);
   const Duration usual =
-    UsualLatency(mHistory[aRelayed.mRoute->mName], aRelayed.mRoute->mObjective);
+    UsualLatency(mHistory[aRelayed.mRoute->mName].mAll, aRelayed.mRoute->mObjective);
+  NoteConnections(service->second);
   return ChooseReplica(service->second.mReplicas, aPart.mTried, limits, usual, aNow, mRng);
 }
 
@@ -454,16 +483,26 @@
 {
   const RoutedService* const service = aTable.FindService(aService);
   const ConnectionAllotment share =
-    AllotConnections(service != nullptr ? service->mMaxConnections : 1, mGateways);
+    AllotConnections(service != nullptr ? service->mMaxConnections : 1, mGateways, mDataCentres);
   mLimits.mMaxRunning = share.mConnections;
+  mLimits.mMaxRunningRemote = share.mRemoteConnections;
   mLimits.mScarce = share.mScarce;
   return mLimits;
 }
 
+void
+Relay::State::NoteConnections(ServiceState& aService) const
+{
+  for (ReplicaView* const replica : aService.mReplicas) {
+    replica->mConnected = mClient.HasConnection(replica->mInfo.mAddress);
+  }
+}
+
 void
 Relay::State::PrepareSoon()
 {
-  if (mPrepareTimer == 0 && mTable != nullptr && !mStopping) {
+  if (mTable != nullptr && !mStopping) {
+    mLoop.CancelTimer(mPrepareTimer);
     mPrepareTimer = mLoop.AddTimer(SteadyNow() + kPrepareDelay, [this] { Prepare(); });
   }
 }
@@ -474,20 +513,34 @@
   mPrepareTimer = 0;
   const TimePoint now = SteadyNow();
   std::set<std::string_view> prepared;
+  std::size_t pooled = 0;
   for (const Route& route : mTable->Document().mRoutes) {
-    const Duration usual = UsualLatency(mHistory[route.mName], route.mObjective);
+    const Duration usual = UsualLatency(mHistory[route.mName].mAll, route.mObjective);
     for (const WeightedService& target : route.mServices) {
       const auto service = mServices.find(target.mService);
       if (service == mServices.end() || !prepared.insert(target.mService).second) {
         continue;
       }
+      NoteConnections(service->second);
       const PlacementLimits& limits = LimitsOf(*mTable, target.mService);
-      if (const ReplicaView* const replica =
-            ChooseReplica(service->second.mReplicas, {}, limits, usual, now, mRng)) {
+      const RoutedService* const routed = mTable->FindService(target.mService);
+      const std::size_t kept =
+        PooledConnections(routed->mMaxConnections, service->second.mReplicas.size(), mGateways);
+      pooled += kept;
+      std::set<std::string> tried;
+      for (std::size_t i = 0; i < std::min(kept, kPreparedReplicas); ++i) {
+        const ReplicaView* const replica =
+          ChooseReplica(service->second.mReplicas, tried, limits, usual, now, mRng);
+        if (replica == nullptr) {
+          break;
+        }
+        tried.insert(replica->mInfo.mId);
         mClient.Prepare(replica->mInfo.mAddress);
       }
     }
   }
+  mClient.SetMaxIdle(pooled);
+  mPrepareTimer = mLoop.AddTimer(now + kPrepareInterval, [this] { Prepare(); });
 }
 
 ClientRequest
@@ -567,6 +620,7 @@
   attempt.mUpstream = replica->mInfo.mId;
   attempt.mSentAt = now;
   attempt.mFirst = part.mSends == 0;
+  attempt.mNear = replica->mInfo.mDataCentre == mLimits.mDataCentre;
   part.mTried.insert(replica->mInfo.mId);
   part.mLive.insert(number);
   ++part.mSends;
@@ -580,7 +634,10 @@
                  [this, number](ClientReply aReply) { OnReply(number, std::move(aReply)); });
   const Route& route = *aRelayed->mRoute;
   if (route.mRepeatable && part.mMayHaveRun < route.mMaxAttempts && part.mSecondSend == 0) {
-    const TimePoint due = now + SecondSendDelay(History(*aRelayed), route.mObjective);
+    const RouteLatency& history = History(*aRelayed);
+    const TimePoint due =
+      now + SecondSendDelay(attempt.mNear ? history.mNear : history.mFar, route.mObjective) +
+      (replica->mConnected ? Duration::zero() : mLimits.mConnectCost);
     part.mSecondSend = mLoop.AddTimer(due, [this, aRelayed, aPart] {
       aRelayed->mParts[aPart].mSecondSend = 0;
       OnSecondSendDue(aRelayed, aPart);
@@ -664,13 +721,16 @@
   if (const auto idle = KeepAliveTimeout(aReply.Header("keep-alive"))) {
     replica->second->mKeepsIdle = *idle;
   }
-  LatencyHistogram& history = History(*aAttempt.mOwner);
-  const Duration usual = UsualLatency(history, route.mObjective);
+  RouteLatency& history = History(*aAttempt.mOwner);
+  const Duration usual = UsualLatency(history.mAll, route.mObjective);
   const Duration took = now - aAttempt.mSentAt;
   if (aEnd == AttemptEnd::Answered) {
     RecordSuccess(*replica->second, took, usual, now);
     if (aAttempt.mFirst) {
-      RecordLatency(history, took, now);
+      RecordLatency(history.mAll, took, now);
+      if (aReply.mReusedConnection) {
+        RecordLatency(aAttempt.mNear ? history.mNear : history.mFar, took, now);
+      }
     }
     if (LogEnabled(LogLevel::Debug)) {
       LogEvent(Event::AttemptAnswered,
@@ -946,6 +1006,7 @@
              { "missing", MissingParts(aRelayed) },
              { "objective_over", aRelayed.mObjectiveOver },
              { "deadline_over", aRelayed.mDeadlineOver },
+             { "first", aRelayed.mRequest.mFirstOnConnection },
              { "took_ms", (now - aRelayed.mArrivedAt) / std::chrono::milliseconds(1) } });
 }
 
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -39,6 +39,12 @@
     mServer = *std::move(server);
   }
 
+  void Wait(Duration aTime)
+  {
+    mLoop.AddTimer(SteadyNow() + aTime, [this] { mLoop.Stop(); });
+    mLoop.Run();
+  }
+
   ClientReply Call(ClientRequest aRequest)
   {
     Loop& loop = mLoop;
@@ -96,6 +102,12 @@
   CPPUNIT_TEST(AnswersAbandonedRequest);
   CPPUNIT_TEST(ClosesConnectionOfCrossedReply);
   CPPUNIT_TEST(ReportsRefusedConnection);
+  CPPUNIT_TEST(TellsTheFirstRequestOfAConnection);
+  CPPUNIT_TEST(PreparedConnectionCarriesTheFirstRequest);
+  CPPUNIT_TEST(CancelledOpeningServesTheNextRequest);
+  CPPUNIT_TEST(RequestsBeyondTheLimitWait);
+  CPPUNIT_TEST(ClosedIdleConnectionIsNotReused);
+  CPPUNIT_TEST(IdleConnectionsAreBounded);
   CPPUNIT_TEST(RefusesDuplicateHeader);
   CPPUNIT_TEST(RefusesMalformedMessages);
   CPPUNIT_TEST_SUITE_END();
@@ -145,6 +157,98 @@
     CPPUNIT_ASSERT(fixture.Call({}).mEnd == TransferEnd::NotConnected);
   }
 
+  void TellsTheFirstRequestOfAConnection()
+  {
+    Loop loop;
+    HttpClient client(loop, "", 1);
+    std::vector<bool> first;
+    auto server = HttpServer::Builder(loop, { kIp, kPort })
+                    .ForForwarding()
+                    .OnRequest([&](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+                      first.push_back(aRequest.mFirstOnConnection);
+                      aRespond({ 200, "", "text/plain" });
+                    })
+                    .Start();
+    CPPUNIT_ASSERT(server.has_value());
+    for (const bool fresh : { true, false, true }) {
+      ClientRequest request;
+      request.mAddress = { kIp, kPort };
+      request.mFreshConnection = fresh;
+      client.Send(std::move(request), [&loop](const ClientReply&) { loop.Stop(); });
+      loop.Run();
+    }
+    CPPUNIT_ASSERT(first == std::vector<bool>({ true, false, true }));
+  }
+
+  void PreparedConnectionCarriesTheFirstRequest()
+  {
+    EchoFixture fixture;
+    CPPUNIT_ASSERT(!fixture.mClient.HasConnection({ kIp, kPort }));
+    fixture.mClient.Prepare({ kIp, kPort });
+    CPPUNIT_ASSERT(fixture.mClient.HasConnection({ kIp, kPort }));
+    fixture.Wait(std::chrono::milliseconds(50));
+    CPPUNIT_ASSERT(fixture.Call({}).mReusedConnection);
+    fixture.mClient.Prepare({ kIp, kPort });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 }, fixture.mClient.ConnectionsOpened());
+  }
+
+  void CancelledOpeningServesTheNextRequest()
+  {
+    EchoFixture fixture;
+    ClientRequest request;
+    request.mAddress = { kIp, kPort };
+    const TransferId cancelled =
+      fixture.mClient.Send(request, [](const ClientReply&) { CPPUNIT_FAIL("it was cancelled"); });
+    fixture.mClient.Cancel(cancelled);
+    CPPUNIT_ASSERT(fixture.Call(request).mEnd == TransferEnd::Complete);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 }, fixture.mClient.ConnectionsOpened());
+  }
+
+  void RequestsBeyondTheLimitWait()
+  {
+    EchoFixture fixture;
+    int answered = 0;
+    for (int i = 0; i < 5; ++i) {
+      ClientRequest request;
+      request.mAddress = { kIp, kPort };
+      fixture.mClient.Send(std::move(request), [&](const ClientReply& aReply) {
+        answered += aReply.mEnd == TransferEnd::Complete ? 1 : 0;
+      });
+    }
+    fixture.Wait(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(5, answered);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 2 }, fixture.mClient.ConnectionsOpened());
+  }
+
+  void IdleConnectionsAreBounded()
+  {
+    EchoFixture fixture;
+    const auto sendTwo = [&fixture] {
+      for (int i = 0; i < 2; ++i) {
+        ClientRequest request;
+        request.mAddress = { kIp, kPort };
+        fixture.mClient.Send(std::move(request), [](const ClientReply&) {});
+      }
+      fixture.Wait(std::chrono::milliseconds(50));
+    };
+    sendTwo();
+    fixture.mClient.SetMaxIdle(1);
+    sendTwo();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, fixture.mClient.ConnectionsOpened());
+    sendTwo();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 4 }, fixture.mClient.ConnectionsOpened());
+  }
+
+  void ClosedIdleConnectionIsNotReused()
+  {
+    EchoFixture fixture;
+    CPPUNIT_ASSERT(fixture.Call({}).mEnd == TransferEnd::Complete);
+    CPPUNIT_ASSERT(fixture.mClient.HasConnection({ kIp, kPort }));
+    fixture.mServer.reset();
+    fixture.Wait(std::chrono::milliseconds(50));
+    CPPUNIT_ASSERT(!fixture.mClient.HasConnection({ kIp, kPort }));
+  }
+
   void RefusesDuplicateHeader()
   {
     EchoFixture fixture;
--- a/tests/test_placement.cpp
+++ b/tests/test_placement.cpp
@@ -82,6 +82,8 @@
   CPPUNIT_TEST(ConnectionsLeaveRoomForAReturn);
   CPPUNIT_TEST(ScarceConnectionsAreNotSpread);
   CPPUNIT_TEST(ScarceConnectionsStayNear);
+  CPPUNIT_TEST(OpenConnectionsArePreferred);
+  CPPUNIT_TEST(NearReplicasHaveRoomForASecondRequest);
   CPPUNIT_TEST(ReplicaThatFailsOftenLosesWork);
   CPPUNIT_TEST(LeavingFullAndTriedReplicasAreExcluded);
   CPPUNIT_TEST(EndsOfAttemptsAreTold);
@@ -159,12 +161,53 @@
   {
     for (const auto& [connections, gateways] :
          std::vector<std::pair<std::uint32_t, std::size_t>>{ { 25, 6 }, { 41, 9 }, { 110, 9 } }) {
-      const ConnectionAllotment share = AllotConnections(connections, gateways);
+      const ConnectionAllotment share = AllotConnections(connections, gateways, 3);
       CPPUNIT_ASSERT(!share.mScarce);
+      CPPUNIT_ASSERT_EQUAL(share.mConnections, share.mRemoteConnections);
       CPPUNIT_ASSERT(2 * share.mConnections * gateways <= connections);
     }
-    CPPUNIT_ASSERT(AllotConnections(64, 65).mScarce);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), AllotConnections(64, 65).mConnections);
+    CPPUNIT_ASSERT(AllotConnections(64, 65, 3).mScarce);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), AllotConnections(64, 65, 3).mRemoteConnections);
+    // What all gateways keep open leaves as much again for their return after a power loss.
+    for (const std::size_t gateways : { 6, 9, 65, 82 }) {
+      CPPUNIT_ASSERT(2 * PooledConnections(73, 3, gateways) * gateways <= std::size_t{ 73 * 3 });
+    }
+    // Room for a second connection of each gateway nearby, or none.
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), AllotConnections(64, 65, 3).mConnections);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), AllotConnections(64, 130, 3).mConnections);
+  }
+
+  // A handshake costs more than the differences between equal replicas, but less than a pause.
+  void OpenConnectionsArePreferred()
+  {
+    Replicas replicas({ "a", "a", "a" });
+    replicas.mViews[0].mConnected = false;
+    replicas.mViews[1].mConnected = false;
+    CPPUNIT_ASSERT_EQUAL(100, replicas.Count({}, kStart)[2]);
+    replicas.mViews[2].mRunning.insert(kStart - seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, replicas.Count({}, kStart)[2]);
+  }
+
+  // Two requests at a time at one gateway: the second must not go to another data centre, nor may
+  // far replicas get more connections than there are.
+  void NearReplicasHaveRoomForASecondRequest()
+  {
+    Replicas replicas({ "a", "b" });
+    PlacementLimits limits;
+    limits.mDataCentre = "a";
+    limits.mScarce = true;
+    limits.mMaxRunning = 2;
+    limits.mMaxRunningRemote = 1;
+    Rng rng(1);
+    const auto choose = [&] {
+      return ChooseReplica(replicas.mPointers, {}, limits, kUsual, kStart, rng);
+    };
+    replicas.mViews[0].mRunning.insert(kStart);
+    CPPUNIT_ASSERT(choose() == &replicas.mViews[0]);
+    replicas.mViews[0].mRunning.insert(kStart);
+    CPPUNIT_ASSERT(choose() == &replicas.mViews[1]);
+    replicas.mViews[1].mRunning.insert(kStart);
+    CPPUNIT_ASSERT(choose() == nullptr);
   }
 
   // The preference among far replicas must not draw work away from a near one.
