Keep idle connections to 0.6 of what replicas accept; refused connections cost no extra send

Change: idle connections may take 0.6; the second connection of a service is kept by a fixed share of the gateways, and not in the first 10 s after a start, when replicas may still hold those of the process before. Second connections are opened only while the pool has room.

--- a/src/extra_budget.cpp
+++ b/src/extra_budget.cpp
@@ -59,10 +59,15 @@
 TryExtraSend(ExtraBudget& aBudget,
              const ExtraBudgetLimits& aLimits,
              std::size_t aGateways,
+             ExtraSend aKind,
              TimePoint aNow)
 {
+  if (aKind == ExtraSend::Replacement) {
+    return true;
+  }
   Advance(aBudget, aLimits, aNow);
-  if (Extra(aBudget) + 1 > Allowance(aBudget, aLimits, aGateways)) {
+  const double use = aKind == ExtraSend::Hedge ? kHedgeUse : 1.0;
+  if (Extra(aBudget) + 1 > use * Allowance(aBudget, aLimits, aGateways)) {
     return false;
   }
   ++aBudget.mExtra[CurrentIndex(aBudget)];
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -618,6 +618,12 @@
   }
 }
 
+std::size_t
+HttpClient::IdleConnections() const
+{
+  return mState->mIdle.size();
+}
+
 bool
 HttpClient::HasConnection(const SocketAddress& aAddress) const
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -84,6 +84,7 @@
   void Prepare(const SocketAddress& aAddress);
   // Closes the connections that have been idle longest, now and later, so that at most aCount are.
   void SetMaxIdle(std::size_t aCount);
+  std::size_t IdleConnections() const;
   // True if a request would find an idle connection, or one that is being opened.
   bool HasConnection(const SocketAddress& aAddress) const;
   // Ends a transfer without calling its handler. Its connection is closed if the request was sent.
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -41,10 +41,8 @@
   if (!aLimits.mScarce) {
     return kJitter * std::uniform_real_distribution<double>(0.0, 1.0)(aRng);
   }
-  const std::string pair = aLimits.mHost + "/" + aReplica.mInfo.mId;
-  const auto hash = static_cast<double>(XXH3_64bits(pair.data(), pair.size()) >> 11U);
   const bool local = aReplica.mInfo.mDataCentre == aLimits.mDataCentre;
-  return (local ? kJitter : kPreference) * hash / static_cast<double>(std::uint64_t{ 1 } << 53U);
+  return (local ? kJitter : kPreference) * PairFraction(aLimits.mHost, aReplica.mInfo.mId);
 }
 
 double
@@ -104,12 +102,24 @@
   return { usable >= near ? std::size_t{ 2 } : std::size_t{ 1 }, 1, true };
 }
 
+double
+PairFraction(std::string_view aHost, std::string_view aOther)
+{
+  std::string pair(aHost);
+  pair.append("/").append(aOther);
+  const auto hash = static_cast<double>(XXH3_64bits(pair.data(), pair.size()) >> 11U);
+  return hash / static_cast<double>(std::uint64_t{ 1 } << 53U);
+}
+
 std::size_t
-PooledConnections(std::uint32_t aMaxConnections, std::size_t aReplicas, std::size_t aGateways)
+PooledConnections(std::uint32_t aMaxConnections,
+                  std::size_t aReplicas,
+                  std::size_t aGateways,
+                  double aRounding)
 {
-  const double share = aMaxConnections * kConnectionUse * static_cast<double>(aReplicas) /
+  const double share = aMaxConnections * kPoolUse * static_cast<double>(aReplicas) /
                        static_cast<double>(std::max<std::size_t>(aGateways, 1));
-  return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+  return std::max<std::size_t>(1, static_cast<std::size_t>(share + aRounding));
 }
 
 double
--- a/src/placement.h
+++ b/src/placement.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace apricotyard {
@@ -79,10 +80,23 @@
 ConnectionAllotment
 AllotConnections(std::uint32_t aMaxConnections, std::size_t aGateways, std::size_t aDataCentres);
 
+// A fixed number from 0 to 1 for a gateway and something it shares with others; it spreads the
+// gateways' choices evenly.
+double
+PairFraction(std::string_view aHost, std::string_view aOther);
+
+// Share of a replica's connections that idle ones may take where connections are scarce. A gateway
+// that returns opens one connection a service at first, for which the rest has room.
+inline constexpr double kPoolUse = 0.6;
+
 // Connections that one gateway may keep open to all replicas of a service together, at least 1.
+// aRounding, from 0 to 1, decides whether the part of a connection that is left over counts as one.
 // Preconditions: as above.
 std::size_t
-PooledConnections(std::uint32_t aMaxConnections, std::size_t aReplicas, std::size_t aGateways);
+PooledConnections(std::uint32_t aMaxConnections,
+                  std::size_t aReplicas,
+                  std::size_t aGateways,
+                  double aRounding);
 
 // A replica whose oldest request runs longer than this many times the usual latency is taken to
 // pause: work that is sent there waits as well.
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -37,6 +37,8 @@
 // Replicas of each service to which a connection is kept open, if there are enough connections: the
 // second one is where a second send goes.
 constexpr std::size_t kPreparedReplicas = 2;
+// After a start, replicas may still hold the connections of the earlier process for this time.
+constexpr Duration kReturnTime = std::chrono::seconds(10);
 // How often connections that replicas closed are opened again.
 constexpr Duration kPrepareInterval = std::chrono::milliseconds(1000);
 // One in so many plain successes is logged; everything else always is.
@@ -198,7 +200,7 @@
   ClientRequest MakeRequest(const Relayed& aRelayed,
                             const ReplicaView& aReplica,
                             TimePoint aNow) const;
-  bool TryAgain(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart);
+  bool TryAgain(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart, ExtraSend aKind);
   // Lets a part wait for a free place; false if too many wait already.
   bool Park(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart);
   // Sends what waits for the service as long as there is a free place.
@@ -242,6 +244,9 @@
   std::size_t mOpen = 0;
   std::uint64_t mAnswers = 0;
   TimerId mPrepareTimer = 0;
+  const TimePoint mStartedAt = SteadyNow();
+  // Idle connections that this gateway may keep.
+  std::size_t mPooled = 0;
   bool mStopping = false;
 };
 
@@ -514,6 +519,7 @@
   const TimePoint now = SteadyNow();
   std::set<std::string_view> prepared;
   std::size_t pooled = 0;
+  const bool returned = now < mStartedAt + kReturnTime;
   for (const Route& route : mTable->Document().mRoutes) {
     const Duration usual = UsualLatency(mHistory[route.mName].mAll, route.mObjective);
     for (const WeightedService& target : route.mServices) {
@@ -524,11 +530,14 @@
       NoteConnections(service->second);
       const PlacementLimits& limits = LimitsOf(*mTable, target.mService);
       const RoutedService* const routed = mTable->FindService(target.mService);
-      const std::size_t kept =
-        PooledConnections(routed->mMaxConnections, service->second.mReplicas.size(), mGateways);
+      const std::size_t kept = PooledConnections(routed->mMaxConnections,
+                                                 service->second.mReplicas.size(),
+                                                 mGateways,
+                                                 PairFraction(mLimits.mHost, target.mService));
       pooled += kept;
       std::set<std::string> tried;
-      for (std::size_t i = 0; i < std::min(kept, kPreparedReplicas); ++i) {
+      const bool second = !returned && mClient.IdleConnections() < mPooled;
+      for (std::size_t i = 0; i < std::min(kept, second ? kPreparedReplicas : 1); ++i) {
         const ReplicaView* const replica =
           ChooseReplica(service->second.mReplicas, tried, limits, usual, now, mRng);
         if (replica == nullptr) {
@@ -539,6 +548,7 @@
       }
     }
   }
+  mPooled = pooled;
   mClient.SetMaxIdle(pooled);
   mPrepareTimer = mLoop.AddTimer(now + kPrepareInterval, [this] { Prepare(); });
 }
@@ -678,13 +688,13 @@
   const Part& part = aRelayed->mParts[aPart];
   if (!aRelayed->mDone && !part.mAnswered && !part.mFailed &&
       part.mMayHaveRun < aRelayed->mRoute->mMaxAttempts) {
-    TryAgain(aRelayed, aPart);
+    TryAgain(aRelayed, aPart, ExtraSend::Hedge);
   }
 }
 
 // Sends a part once more if the budget and a replica allow it.
 bool
-Relay::State::TryAgain(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart)
+Relay::State::TryAgain(const std::shared_ptr<Relayed>& aRelayed, std::size_t aPart, ExtraSend aKind)
 {
   Part& part = aRelayed->mParts[aPart];
   const TimePoint now = SteadyNow();
@@ -692,7 +702,7 @@
     return false;
   }
   const bool allowed =
-    TryExtraSend(mServices[part.mService].mBudget, mSettings.mExtraSends, mGateways, now);
+    TryExtraSend(mServices[part.mService].mBudget, mSettings.mExtraSends, mGateways, aKind, now);
   mMetrics.CountExtraSend(part.mService, allowed);
   return allowed && SendPart(aRelayed, aPart);
 }
@@ -769,6 +779,9 @@
   part.mLive.erase(aNumber);
   ServeWaiting(part.mService);
   AttemptEnd end = ClassifyAttempt(aReply, mDialect.mHeaders);
+  const bool arrived =
+    aReply.mEnd != TransferEnd::NotConnected && aReply.mEnd != TransferEnd::NotSent;
+  const ExtraSend kind = arrived ? ExtraSend::Retry : ExtraSend::Replacement;
   const bool success = aReply.mStatus >= kOk && aReply.mStatus < kMultipleChoices;
   if (relayed->mRoute->mTarget == RouteTarget::AllShards && end == AttemptEnd::Answered &&
       !success) {
@@ -791,7 +804,7 @@
   }
   const bool again = MayRepeat(end, relayed->mRoute->mRepeatable) &&
                      part.mMayHaveRun < relayed->mRoute->mMaxAttempts &&
-                     TryAgain(relayed, attempt.mPart);
+                     TryAgain(relayed, attempt.mPart, kind);
   part.mFailed = !again && part.mLive.empty();
   Evaluate(relayed);
 }
