Let the container own a connection while it is closed

Change: the node taken out of the set of connections owns it. No change of behaviour; HttpTest, RelayTest and the contract tests pass as before.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -268,7 +268,7 @@
     errno = error;
     return nullptr;
   }
-  const auto connection = std::make_shared<Connection>();
+  auto connection = std::make_shared<Connection>();
   connection->mFd = fd;
   connection->mServer = &aServer;
   ++aServer.mOpen;
@@ -461,11 +461,12 @@
 void
 HttpClient::State::Close(const ConnectionPtr& aConnection)
 {
-  // The caller's reference may be the one that a container below gives up.
-  const ConnectionPtr connection = aConnection;
-  if (connection->mPhase == Phase::Closed) {
+  if (aConnection->mPhase == Phase::Closed) {
     return;
   }
+  // Owns the connection while the containers below give it up.
+  const auto owner = mConnections.extract(aConnection);
+  const ConnectionPtr& connection = owner.value();
   if (connection->mPhase == Phase::Idle) {
     LeaveIdle(connection);
   }
@@ -476,7 +477,6 @@
   mLoop.CancelTimer(connection->mConnectTimer);
   mLoop.RemoveFd(connection->mFd);
   close(connection->mFd);
-  mConnections.erase(connection);
   --server.mOpen;
   ServeWaiting(server);
 }
