Keep a control member that was added again after a restart

Cause: a restart commits the log from its beginning. The entry that once removed the member put it into the role removed, although later entries add and promote it; the role follows the newest list only when entries are appended, so the member stayed silent for good. With two of three voters in that state the group accepts no change (schedules: hosts 1 and 2).

Ruled out: a lost promotion (the list at index 18 names three voters on every host); the disks (all logs reach index 20 or more).

Change: a committed removal is passed over if the newest list names the member.

--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -311,7 +311,9 @@
 {
   const auto& members = RaftMembersAt(aRaft, aEntry.mIndex);
   const std::string self = aRaft.mSettings.mSelf;
-  if (FindMember(members, self) == nullptr &&
+  // A member that a later entry added again stays: after a restart the whole log is committed anew,
+  // and its role follows the newest list, which was fitted when the log was read.
+  if (FindMember(members, self) == nullptr && FindMember(RaftMembers(aRaft), self) == nullptr &&
       FindMember(RaftMembersAt(aRaft, aEntry.mIndex - 1), self) != nullptr) {
     if (aRaft.mRole == RaftRole::Leader) {
       // Tells the others that the removal is committed, so that they need not find it out alone.
--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -157,6 +157,7 @@
   CPPUNIT_TEST(RestartedMemberKeepsItsPromiseToTheLeader);
   CPPUNIT_TEST(LeaderCutFromOneMemberIsNotDeposed);
   CPPUNIT_TEST(VoterStandsUntilItsRemovalIsCommitted);
+  CPPUNIT_TEST(MemberThatReturnedStaysAfterARestart);
   CPPUNIT_TEST(NothingCountsBeforeItsSync);
   CPPUNIT_TEST(OldIdentityNeverVotes);
   CPPUNIT_TEST(ReplyToAReadBeforeARestartIsIgnored);
@@ -168,7 +169,9 @@
   // Covers what no focused test names; each seed that ever failed is listed.
   void SchedulesHold()
   {
-    std::vector<std::uint64_t> seeds = { 4598, 8620, 9040, 11484, 22210, 24567, 25185, 28817 };
+    std::vector<std::uint64_t> seeds = {
+      4598, 8620, 9040, 11484, 22210, 24567, 25185, 28817, 403984
+    };
     for (std::uint64_t seed = 1; seed <= 150; ++seed) {
       seeds.push_back(seed);
     }
@@ -308,6 +311,37 @@
     CPPUNIT_ASSERT(net[leader].mRole == RaftRole::Removed);
   }
 
+  // A restart commits the whole log again, an earlier removal of the member included.
+  void MemberThatReturnedStaysAfterARestart()
+  {
+    Net net(4);
+    const std::string leader = net.ElectedLeader();
+    const std::string member = OtherThan(leader);
+    CPPUNIT_ASSERT(RaftRemove(net[leader], member, net.mNow).has_value());
+    net.Run(seconds(1));
+    CPPUNIT_ASSERT(net[member].mRole == RaftRole::Removed);
+    CPPUNIT_ASSERT(RaftAddLearner(net[leader], Net::Member(member), net.mNow).has_value());
+    net.Run(seconds(1));
+    CPPUNIT_ASSERT(RaftPromote(net[leader], member, net.mNow).has_value());
+    net.Run(seconds(1));
+    for (const std::string& restarted : { member, leader }) {
+      net.Start(restarted, net.Stored(restarted));
+    }
+    const std::string next = net.ElectedLeader();
+    CPPUNIT_ASSERT(net[member].mRole == RaftRole::Follower || next == member);
+    // The others alone have no majority without it.
+    for (const auto& [id, raft] : net.mMembers) {
+      if (id != member && id != next) {
+        net.Cut(id);
+        break;
+      }
+    }
+    const auto index = RaftPropose(net[next], "x", net.mNow);
+    CPPUNIT_ASSERT(index.has_value());
+    net.Run(seconds(1));
+    CPPUNIT_ASSERT(net[next].mCommitted >= *index);
+  }
+
   // Neither a vote nor an entry may count while a power loss could still take it back.
   void NothingCountsBeforeItsSync()
   {
