Replace lost voters at once and grow the control group only to its target

Cause: the plan waited 10 s before it counted a voter as lost, but the next host may be lost 4 s after the successor of the first has started. Until then it also promoted learners in pairs, whether or not a voter was gone, and without regard to how many voters are needed. Five voters with two of them gone for good do not survive the loss of a disk. Contact was taken from calls between coordinators, which are paced, and not from the group's own messages.

Class of fault: members that no longer exist count against a majority.

Change: a voter that has not answered the leader for 2 s, or that announces its stop, is replaced by a learner that is ready. The group grows only while all voters are in contact, and only to 2 f + 1 voters, f being the losses that the settings name (tolerated_losses); beyond that number lost voters are removed without a replacement. Steps follow each other at once instead of every 500 ms. A voter that stops waits up to 1.5 s for its replacement.

Ruled out: growth is not needed for the fault.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -16,6 +16,7 @@
 #include "raft_node.h"
 
 #include <algorithm>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -53,6 +54,11 @@
 // coordinator.
 constexpr std::uint64_t kSnapshotBytes = std::uint64_t{ 8 } * 1024 * 1024;
 constexpr std::chrono::milliseconds kShutdownGrace{ 500 };
+// A voter that stops waits this long for the learner that replaces it.
+constexpr Duration kMaxReplacementWait = std::chrono::milliseconds(1500);
+// A coordinator that announced its stop has stopped after this time.
+constexpr Duration kMaxStopTime = std::chrono::seconds(5);
+constexpr Duration kStopCheckInterval = std::chrono::milliseconds(25);
 constexpr Duration kAcceptCheckInterval = std::chrono::milliseconds(50);
 // Sent in the Retry-After header of errors that are likely to be temporary.
 constexpr const char* kRetryAfterSeconds = "0.5";
@@ -108,6 +114,7 @@
   rpc::FleetJoinReply HandleJoin(const rpc::FleetJoinRequest& aRequest);
   void AddSeeds(const std::vector<SocketAddress>& aSeeds);
   void BeginStop();
+  bool MayBeReplaced() const;
   bool KnowsLeader() const { return !mLog->Status().mLeader.empty(); }
 
 private:
@@ -129,6 +136,7 @@
 
   void OnDocumentStored();
   void OnSyncReply(const std::string& aIp, const rpc::FleetSyncReply& aReply);
+  std::set<std::string> LeavingCoordinators(TimePoint aNow) const;
   void UpdateMembership();
   void RequestToJoin();
 
@@ -362,6 +370,35 @@
   }
 }
 
+// Returns the IP addresses of the coordinators that announced their stop.
+std::set<std::string>
+Coordinator::LeavingCoordinators(TimePoint aNow) const
+{
+  std::set<std::string> leaving;
+  for (const auto& [ip, known] : mRegistry.mHosts) {
+    if (known.mHost.mRole == FleetRole::Coordinator && !known.mHost.mServing &&
+        known.mHeardAt + kMaxStopTime > aNow) {
+      leaving.insert(ip);
+    }
+  }
+  if (mStopping) {
+    leaving.insert(mSelf.mIp);
+  }
+  return leaving;
+}
+
+// Whether this host is a voter that a learner can still replace before it stops.
+bool
+Coordinator::MayBeReplaced() const
+{
+  const LogStatus status = mLog->Status();
+  const bool learners =
+    std::any_of(status.mMembers.begin(), status.mMembers.end(), [](const LogMember& aMember) {
+      return aMember.mRole == MemberRole::Learner;
+    });
+  return learners && !status.mLeader.empty() && CountVotersIfVoter(status) > 0;
+}
+
 // On the leader, starts the next membership change if one is needed and none is in progress.
 void
 Coordinator::UpdateMembership()
@@ -390,9 +427,13 @@
   for (const auto& [ip, joining] : mJoinRequests) {
     view.mJoining.push_back(joining.first);
   }
-  for (const auto& [ip, host] : mRegistry.mHosts) {
-    view.mHeardAt[ip] = host.mHeardAt;
+  for (const LogMember& member : status.mMembers) {
+    if (member.mHeardAt) {
+      view.mHeardAt[member.mAddress.mIp] = *member.mHeardAt;
+    }
   }
+  view.mLeaving = LeavingCoordinators(now);
+  view.mTargetVoters = VotersFor(static_cast<std::size_t>(mSettings.mToleratedLosses));
   const auto step = PlanMembershipChange(view, now);
   if (!step) {
     return;
@@ -404,6 +445,9 @@
              { { "change", static_cast<int>(step.mChange) },
                { "member", step.mMember.mId },
                { "result", aResult ? "ok" : aResult.error().mMessage } });
+    if (aResult) {
+      mLoop.Post([this] { UpdateMembership(); });
+    }
   };
   switch (step->mChange) {
     case MembershipChangeKind::AddLearner:
@@ -881,6 +925,7 @@
   aReader.Text("data_folder", Presence::Required, 1, 4096, aSettings.mDataFolder);
   aReader.AddressList("seeds", Presence::Required, aSettings.mSeeds);
   aReader.Boolean("first_start", Presence::Optional, aSettings.mFirstStart);
+  aReader.Integer("tolerated_losses", Presence::Optional, 0, 3, aSettings.mToleratedLosses);
   aReader.Time("address_lifetime",
                Presence::Optional,
                std::chrono::seconds(1),
@@ -901,15 +946,23 @@
   Coordinator coordinator(loop, aSettings, aProtocol);
   FleetServer fleet(loop, aSettings, coordinator);
   std::thread shutdownThread;
+  std::optional<TimePoint> stopAt;
+  const auto stopWhenReplaced = [&] {
+    if (shutdownThread.joinable() || (coordinator.MayBeReplaced() && SteadyNow() < *stopAt)) {
+      return;
+    }
+    fleet.BeginStop();
+    shutdownThread = std::thread([&] {
+      fleet.Shutdown(std::chrono::system_clock::now() + kShutdownGrace);
+      loop.Stop();
+    });
+  };
   HandleStopSignals(loop, [&] {
-    if (!shutdownThread.joinable()) {
+    if (!stopAt) {
       LogEvent(Event::ProcessStopping, { { "host", aSettings.mHost } });
+      stopAt = SteadyNow() + kMaxReplacementWait;
       coordinator.BeginStop();
-      fleet.BeginStop();
-      shutdownThread = std::thread([&] {
-        fleet.Shutdown(std::chrono::system_clock::now() + kShutdownGrace);
-        loop.Stop();
-      });
+      loop.AddPeriodic(kStopCheckInterval, stopWhenReplaced);
     }
   });
   HandleReloadSignal(loop, [&coordinator, &aReloadSettings] {
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -34,6 +34,9 @@
   // Set only for the very first start of the whole system. The seeds then form the initial
   // control group.
   bool mFirstStart = false;
+  // Coordinators that may fail at once, their disks included, while the routing document stays
+  // safe.
+  std::int64_t mToleratedLosses = 2;
   // How long callers may cache the list of gateways.
   Duration mAddressLifetime = std::chrono::seconds(4);
   std::string mCharts = "charts";
--- a/src/fleet_registry.h
+++ b/src/fleet_registry.h
@@ -27,7 +27,7 @@
   std::string mIp;
   // Gateways: where callers connect. Coordinators: where upstreams announce themselves.
   SocketAddress mPublicAddress;
-  // Gateways: whether it accepts new callers.
+  // Gateways: whether it accepts new callers. Coordinators: false once it stops.
   bool mServing = false;
   // Gateways: the longest pause until the next call to this coordinator.
   Duration mPause{};
--- a/src/raft_member.cpp
+++ b/src/raft_member.cpp
@@ -408,6 +408,9 @@
       member.mMatchIndex = mRaft.mSyncedIndex;
     } else if (progress != mRaft.mProgress.end()) {
       member.mMatchIndex = progress->second.mMatchIndex;
+      if (progress->second.mLastEchoedSendTime != TimePoint::min()) {
+        member.mHeardAt = progress->second.mLastEchoedSendTime;
+      }
     }
   }
   return status;
--- a/src/replicated_log.h
+++ b/src/replicated_log.h
@@ -5,6 +5,7 @@
 #include "types.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,9 @@
   MemberRole mRole = MemberRole::Voter;
   // Last log index that the member is known to hold. Exact only on the leader.
   std::uint64_t mMatchIndex = 0;
+  // Send time of the last message that the member has answered. Set only on the leader, and not for
+  // the leader itself.
+  std::optional<TimePoint> mHeardAt = std::nullopt;
 };
 
 // The name part of a member's identity, which is NAME or NAME.NONCE. Thread-safe.
