Let a removed voter that returns ask to join again

A voter that is removed while it is cut off or without power keeps a member list that names it. It asked nobody to join, and the leader sends nothing to hosts outside its list, so the host stayed a pre-candidate for good: the group had one spare member less than its operator believed, and the coordinator answered every read and every change with 503. Since lost voters are replaced after 2 s, this would happen after each longer outage.

Change: a member that has known no leader for 3 s asks to join (ShouldRequestJoin); the leader ignores members. A learner that was just added has not answered the leader yet; its last call to the coordinator counts as contact, because a leader that had led for over 60 s would otherwise remove it at once.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -188,6 +188,7 @@
   std::uint64_t mLeadingTerm = 0;
   TimePoint mLeadingSince;
   TimePoint mNextJoinRequest;
+  TimePoint mLeaderKnownAt = SteadyNow();
 };
 
 Expected<void>
@@ -428,9 +429,13 @@
     view.mJoining.push_back(joining.first);
   }
   for (const LogMember& member : status.mMembers) {
-    if (member.mHeardAt) {
-      view.mHeardAt[member.mAddress.mIp] = *member.mHeardAt;
+    // A learner that was just added has not answered yet, but has called to join.
+    const auto called = mRegistry.mHosts.find(member.mAddress.mIp);
+    TimePoint heardAt = member.mHeardAt.value_or(TimePoint::min());
+    if (member.mRole == MemberRole::Learner && called != mRegistry.mHosts.end()) {
+      heardAt = std::max(heardAt, called->second.mHeardAt);
     }
+    view.mHeardAt[member.mAddress.mIp] = heardAt;
   }
   view.mLeaving = LeavingCoordinators(now);
   view.mTargetVoters = VotersFor(static_cast<std::size_t>(mSettings.mToleratedLosses));
@@ -467,13 +472,13 @@
 {
   const LogStatus status = mLog->Status();
   const TimePoint now = SteadyNow();
-  const bool isMember =
-    std::any_of(status.mMembers.begin(),
-                status.mMembers.end(),
-                [&status](const LogMember& aMember) { return aMember.mId == status.mSelf; });
+  if (!status.mLeader.empty()) {
+    mLeaderKnownAt = now;
+  }
   // On the first start the seeds form the group without a request to join.
   const bool formsGroup = mSettings.mFirstStart && IsSeed() && status.mLastIndex == 0;
-  if (isMember || formsGroup || mStopping || now < mNextJoinRequest) {
+  if (!ShouldRequestJoin(status, now - mLeaderKnownAt) || formsGroup || mStopping ||
+      now < mNextJoinRequest) {
     return;
   }
   mNextJoinRequest = now + kJoinInterval;
--- a/src/group_plan.cpp
+++ b/src/group_plan.cpp
@@ -162,6 +162,16 @@
   return std::clamp(2 * aToleratedLosses + 1, kMinVoters, kMaxVoters);
 }
 
+bool
+ShouldRequestJoin(const LogStatus& aStatus, Duration aLeaderless)
+{
+  const bool isMember =
+    std::any_of(aStatus.mMembers.begin(),
+                aStatus.mMembers.end(),
+                [&aStatus](const LogMember& aMember) { return aMember.mId == aStatus.mSelf; });
+  return !isMember || aLeaderless >= kRejoinTimeout;
+}
+
 std::optional<MembershipChange>
 PlanMembershipChange(const MembershipView& aView, TimePoint aNow)
 {
--- a/src/group_plan.h
+++ b/src/group_plan.h
@@ -66,6 +66,15 @@
 std::size_t
 VotersFor(std::size_t aToleratedLosses);
 
+// A member that knew no leader for this time may have been removed while it was out of contact, and
+// asks to join. Longer than an election.
+inline constexpr Duration kRejoinTimeout = std::chrono::seconds(3);
+
+// Whether a host asks the leader to add it: it is in no member list that it knows of, or has not
+// known a leader for aLeaderless. Thread-safe.
+bool
+ShouldRequestJoin(const LogStatus& aStatus, Duration aLeaderless);
+
 // The next membership change, or nothing if none is needed. aNow is on the clock of aView.
 // Thread-safe.
 std::optional<MembershipChange>
--- a/tests/test_group_plan.cpp
+++ b/tests/test_group_plan.cpp
@@ -175,6 +175,7 @@
   CPPUNIT_TEST(GroupGrowsOnlyToItsTarget);
   CPPUNIT_TEST(GroupShrinksToItsTarget);
   CPPUNIT_TEST(LeavingVoterIsReplacedBeforeItStops);
+  CPPUNIT_TEST(RemovedVoterThatReturnsAsksToJoin);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -324,6 +325,28 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string("m2.n"), view.mMembers.front().mId);
   }
+
+  void RemovedVoterThatReturnsAsksToJoin()
+  {
+    // Its own member list still names it.
+    LogStatus status;
+    status.mSelf = "m3.n";
+    status.mMembers = MakeView(3, 0).mMembers;
+    CPPUNIT_ASSERT(!ShouldRequestJoin(status, seconds(1)));
+    CPPUNIT_ASSERT(ShouldRequestJoin(status, seconds(4)));
+    status.mMembers.pop_back();
+    CPPUNIT_ASSERT(ShouldRequestJoin(status, seconds(0)));
+    // The leader adds it as a learner, with the identity that it had, and ignores a present member.
+    MembershipView view = MakeView(2, 1);
+    view.mMembers.back().mMatchIndex = 0;
+    view.mJoining = { Member(4, MemberRole::Learner) };
+    const auto step = PlanMembershipChange(view, kStart + seconds(100));
+    CPPUNIT_ASSERT(step && step->mChange == MembershipChangeKind::AddLearner);
+    ApplyChange(view, *step);
+    view.mMembers.back().mMatchIndex = 0;
+    view.mHeardAt["10.0.0.4"] = kStart + seconds(99);
+    CPPUNIT_ASSERT(!PlanMembershipChange(view, kStart + seconds(100)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GroupPlanTest);
