Make a learner out of contact know no leader

A learner kept the leader that it had heard last for good, because only voters run elections. Its coordinator then told gateways that it was in contact with its group, and a gateway that had just started could adopt the document of a learner that had been cut off for minutes: a change that had been acknowledged came back older.

RaftTest::LearnerOutOfContactKnowsNoLeader failed before (expected no leader, got the old one) and passes now.

Change: a learner or removed member forgets the leader after two election timeouts without contact, as a follower does.

--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -950,6 +950,10 @@
       return;
     case RaftRole::Learner:
     case RaftRole::Removed:
+      // As long as a follower may follow a lost leader.
+      if (aNow >= aRaft.mLastLeaderContact + 2 * aRaft.mSettings.mElectionTimeout) {
+        aRaft.mLeader.clear();
+      }
       return;
   }
 }
--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -158,6 +158,8 @@
   CPPUNIT_TEST(LeaderSurvivesLostLinkToOneFollower);
   CPPUNIT_TEST(VoterCampaignsUntilRemovalIsCommitted);
   CPPUNIT_TEST(ReaddedMemberStaysAfterRestart);
+  CPPUNIT_TEST(VoterRemovedWhileCutOffReturnsAsLearner);
+  CPPUNIT_TEST(LearnerOutOfContactKnowsNoLeader);
   CPPUNIT_TEST(EntriesCountOnlyOnceSynced);
   CPPUNIT_TEST(MessagesToOldIdentityAreIgnored);
   CPPUNIT_TEST(ReadReplyFromBeforeRestartIsIgnored);
@@ -348,6 +350,38 @@
   }
 
   // An entry must not count as held by a member while a power loss could still undo it.
+  void VoterRemovedWhileCutOffReturnsAsLearner()
+  {
+    TestNetwork network(4);
+    const std::string leader = network.ElectedLeader();
+    const std::string cutOff = OtherThan(leader);
+    network.Isolate(cutOff);
+    CPPUNIT_ASSERT(RaftRemove(network[leader], cutOff, network.mNow));
+    network.Run(seconds(5));
+    network.mBlockedLinks.clear();
+    network.Run(seconds(5));
+    // Nobody tells it of its removal, so it has to ask.
+    CPPUNIT_ASSERT_EQUAL(std::string(), network[cutOff].mLeader);
+    CPPUNIT_ASSERT(RaftAddLearner(network[leader], TestNetwork::Member(cutOff), network.mNow));
+    network.Run(seconds(1));
+    CPPUNIT_ASSERT(network[cutOff].mRole == RaftRole::Learner);
+    CPPUNIT_ASSERT_EQUAL(leader, network[cutOff].mLeader);
+    CPPUNIT_ASSERT_EQUAL(leader, network.Leader());
+  }
+
+  void LearnerOutOfContactKnowsNoLeader()
+  {
+    TestNetwork network(3);
+    const std::string leader = network.ElectedLeader();
+    network.Start("d", {});
+    CPPUNIT_ASSERT(RaftAddLearner(network[leader], TestNetwork::Member("d"), network.mNow));
+    network.Run(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(leader, network["d"].mLeader);
+    network.Isolate("d");
+    network.Run(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::string(), network["d"].mLeader);
+  }
+
   void EntriesCountOnlyOnceSynced()
   {
     TestNetwork net(3);
