Replace a document that was only logged by the committed one of the same version

A route that had been added would not be served at some gateways, which obey content that the group never committed, until the next change.

If the leader that logged version 5 is cut off, and another leader commits another document as version 5 (two operators at once), the gateways near the old leader kept theirs: nothing compared more than the version.

Class of fault: an identifier is taken for the content although it is not unique before the commit.

Change: replies and requests carry the hash of the document and whether it is known to be committed. A committed document supersedes an uncommitted one of the same version with another hash; one with the same hash only confirms it and is not fetched again. DocumentAdopted logs "committed".

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -520,21 +520,24 @@
 void
 Coordinator::FillDocument(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const
 {
-  DocumentVersion version = mState.Current().mVersion;
-  std::string encoded;
+  std::string encoded = mState.EncodedDocument();
+  DocumentIdentity offered{ mState.Current().mVersion, true, DocumentDigest(encoded) };
   // Without contact with the group, an entry that is not known to be committed here may already
   // have been committed and acknowledged, so its document is reported too.
   if (!aReply.current()) {
     for (const std::string& command : mLog->UncommittedCommands()) {
-      if (const auto logged = DecodeDocument(command); logged && logged->mVersion > version) {
-        version = logged->mVersion;
+      if (const auto logged = DecodeDocument(command);
+          logged && logged->mVersion > offered.mVersion) {
+        offered = { logged->mVersion, false, DocumentDigest(command) };
         encoded = command;
       }
     }
   }
-  aReply.set_document_version(version);
-  if (aRequest.wants_document() && version > aRequest.document_version()) {
-    aReply.set_document(encoded.empty() ? mState.EncodedDocument() : encoded);
+  aReply.set_document_version(offered.mVersion);
+  aReply.set_document_uncommitted(!offered.mCommitted);
+  aReply.set_document_digest(offered.mDigest);
+  if (aRequest.wants_document() && Supersedes(offered, DocumentOf(aRequest))) {
+    aReply.set_document(std::move(encoded));
   }
 }
 
--- /dev/null
+++ b/src/document_choice.h
@@ -0,0 +1,42 @@
+// Decides which routing document a gateway uses. Pure functions.
+//
+// A coordinator that has lost its group reports the documents in its log, because some of them may
+// have been acknowledged. One of them may also have been dropped since, and the group may then have
+// committed another document with the same version.
+#ifndef APRICOTYARD_DOCUMENT_CHOICE_H
+#define APRICOTYARD_DOCUMENT_CHOICE_H
+
+#include "routing.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace apricotyard {
+
+struct DocumentIdentity
+{
+  // 0 if there is no document.
+  DocumentVersion mVersion = 0;
+  // Whether the document is known to be committed. The group commits one document per version.
+  bool mCommitted = true;
+  // Hash of the encoded document; 0 if it is not known.
+  std::uint64_t mDigest = 0;
+
+  bool operator==(const DocumentIdentity&) const = default;
+};
+
+// Thread-safe, like the other functions of this file that take no mutable argument.
+std::uint64_t
+DocumentDigest(std::string_view aEncoded);
+
+// Whether a host that holds aHeld is to use aOffered instead.
+bool
+Supersedes(const DocumentIdentity& aOffered, const DocumentIdentity& aHeld);
+
+// Whether aOffered tells that the document aHeld, which was not known to be committed, is.
+bool
+Confirms(const DocumentIdentity& aOffered, const DocumentIdentity& aHeld);
+
+} // namespace apricotyard
+
+#endif
--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -21,7 +21,7 @@
 // From this number of consecutive failed calls on, the connection is replaced after each. An old
 // connection may have stopped working while a new one would work.
 constexpr int kFailuresUntilReconnect = 2;
-// Time allowed to the loop to handle a document that has arrived and to call SetDocumentVersion. No
+// Time allowed to the loop to handle a document that has arrived and to call SetDocument. No
 // other link fetches the document in this time.
 constexpr std::chrono::milliseconds kDocumentApplyTime{ 150 };
 // Coordinators call each other every kFleetSyncPause. One that another has not reached for this
@@ -70,7 +70,7 @@
 {
   absl::Mutex mMutex;
   rpc::FleetHost mSelf;
-  DocumentVersion mDocumentVersion = 0;
+  DocumentIdentity mDocument;
   // The link that fetches the document, and until when the other links do not fetch it themselves.
   std::string mFetchingLink;
   absl::Time mFetchReservedUntil = absl::InfinitePast();
@@ -183,7 +183,9 @@
     rpc::FleetSyncRequest request;
     absl::MutexLock lock(&mShared.mMutex);
     *request.mutable_self() = mShared.mSelf;
-    request.set_document_version(mShared.mDocumentVersion);
+    request.set_document_version(mShared.mDocument.mVersion);
+    request.set_document_uncommitted(!mShared.mDocument.mCommitted);
+    request.set_document_digest(mShared.mDocument.mDigest);
     request.set_own_records_only(!WantsAllRecords());
     request.set_cursor(request.own_records_only() ? mOwnCursor : mAllCursor);
     request.set_cursor_incarnation(mCursorIncarnation);
@@ -197,12 +199,12 @@
 
   // Returns whether this link is to fetch the document now, and if so reserves the fetch for it.
   // Only one link at a time fetches the document, so that it crosses the network once.
-  // Whether the coordinator has a newer version is known from its previous reply.
+  // Whether the coordinator has one to fetch is known from its previous reply.
   bool ReserveFetch()
   {
     mShared.mMutex.AssertHeld();
     const absl::Time now = absl::Now();
-    if (mCoordinatorVersion <= mShared.mDocumentVersion ||
+    if (!Supersedes(mCoordinatorDocument, mShared.mDocument) ||
         (mShared.mFetchReservedUntil > now && mShared.mFetchingLink != mAddress)) {
       return false;
     }
@@ -211,13 +213,13 @@
     return true;
   }
 
-  // Records the version that the coordinator holds. If it is newer than the version of this host,
-  // the next call is made at once to fetch it, unless another link is fetching.
-  void RecordVersion(DocumentVersion aVersion)
+  // Records the document that the coordinator holds. If it supersedes that of this host, the next
+  // call is made at once to fetch it, unless another link is fetching.
+  void RecordDocument(const DocumentIdentity& aDocument)
   {
     absl::MutexLock lock(&mShared.mMutex);
-    mCoordinatorVersion = aVersion;
-    mFetchNow = aVersion > mShared.mDocumentVersion &&
+    mCoordinatorDocument = aDocument;
+    mFetchNow = Supersedes(aDocument, mShared.mDocument) &&
                 (mShared.mFetchReservedUntil <= absl::Now() || mShared.mFetchingLink == mAddress);
   }
 
@@ -244,7 +246,7 @@
       mShared.mFetchReservedUntil = absl::Now() + absl::FromChrono(kDocumentApplyTime);
     }
     if (mSettings.mFetchDocuments) {
-      RecordVersion(fetched ? 0 : reply.document_version());
+      RecordDocument(fetched ? DocumentIdentity() : DocumentOf(reply));
     }
     const bool more = reply.more_records();
     const std::uint64_t cursor = reply.cursor();
@@ -358,7 +360,7 @@
     mShared.mReachable.erase(mReachableKey);
     // Lets the other links fetch the document, so that an unresponsive coordinator does not delay
     // it.
-    mCoordinatorVersion = 0;
+    mCoordinatorDocument = {};
     if (mShared.mFetchingLink == mAddress) {
       mShared.mFetchReservedUntil = absl::InfinitePast();
     }
@@ -472,8 +474,8 @@
   std::pair<bool, std::string> mReachableKey;
   // The open call, or null. Guarded by mShared.mMutex.
   grpc::ClientContext* mContext = nullptr;
-  // The document version in the coordinator's last reply, or 0 if that reply carried the document.
-  DocumentVersion mCoordinatorVersion = 0;
+  // The document that the coordinator's last reply named, or none if that reply carried it.
+  DocumentIdentity mCoordinatorDocument;
   // The next call is due immediately, to fetch the document or the records.
   bool mFetchNow = false;
   bool mReachable = false;
@@ -586,10 +588,10 @@
 }
 
 void
-FleetClient::SetDocumentVersion(DocumentVersion aVersion)
+FleetClient::SetDocument(const DocumentIdentity& aDocument)
 {
   absl::MutexLock lock(&mState->mShared.mMutex);
-  mState->mShared.mDocumentVersion = aVersion;
+  mState->mShared.mDocument = aDocument;
 }
 
 void
--- a/src/fleet_client.h
+++ b/src/fleet_client.h
@@ -3,6 +3,7 @@
 #ifndef APRICOTYARD_FLEET_CLIENT_H
 #define APRICOTYARD_FLEET_CLIENT_H
 
+#include "document_choice.h"
 #include "fleet.pb.h"
 #include "fleet_registry.h"
 #include "loop.h"
@@ -58,8 +59,8 @@
   void SetLocalHost(const FleetHost& aSelf);
   // Sets the load that the next calls report, without calling at once.
   void SetLoad(double aLoad);
-  // Sets the version of the document that this host holds.
-  void SetDocumentVersion(DocumentVersion aVersion);
+  // Sets the document that this host holds.
+  void SetDocument(const DocumentIdentity& aDocument);
   // Sets the pauses between two calls to the primary, FleetClientSettings::mPause by default, and
   // to another coordinator, which is never shorter.
   void SetPauses(Duration aPrimary, Duration aSecondary);
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -44,4 +44,18 @@
   return host;
 }
 
+DocumentIdentity
+DocumentOf(const rpc::FleetSyncRequest& aRequest)
+{
+  return { aRequest.document_version(),
+           !aRequest.document_uncommitted(),
+           aRequest.document_digest() };
+}
+
+DocumentIdentity
+DocumentOf(const rpc::FleetSyncReply& aReply)
+{
+  return { aReply.document_version(), !aReply.document_uncommitted(), aReply.document_digest() };
+}
+
 } // namespace apricotyard
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -1,7 +1,8 @@
-// Conversions between FleetHost and its protobuf message. Pure functions.
+// Conversions between the types of the Fleet service and its protobuf messages. Pure functions.
 #ifndef APRICOTYARD_FLEET_MESSAGES_H
 #define APRICOTYARD_FLEET_MESSAGES_H
 
+#include "document_choice.h"
 #include "fleet.pb.h"
 #include "fleet_registry.h"
 
@@ -13,6 +14,12 @@
 Expected<FleetHost>
 FromMessage(const rpc::FleetHost& aMessage);
 
+// The document that the sender holds.
+DocumentIdentity
+DocumentOf(const rpc::FleetSyncRequest& aRequest);
+DocumentIdentity
+DocumentOf(const rpc::FleetSyncReply& aReply);
+
 } // namespace apricotyard
 
 #endif
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -110,9 +110,11 @@
   std::unique_ptr<HttpServer> mMetricsServer;
   // Version of the document in force here; 0 if there is none.
   DocumentVersion mVersion = 0;
-  // The newest document received from a coordinator, as encoded by EncodeDocument, and its version.
-  DocumentVersion mCandidateVersion = 0;
-  std::string mCandidate;
+  // The document received last from a coordinator, as encoded by EncodeDocument, its identity, and
+  // whether it is in force here.
+  DocumentIdentity mCandidate;
+  std::string mEncodedCandidate;
+  bool mCandidateAdopted = false;
   // Used until the first document is adopted: the newest version that a coordinator has reported,
   // whether a coordinator in contact with its group or a majority of the voters has replied, and
   // the IP addresses of the voters that have replied.
@@ -388,10 +390,15 @@
 void
 Gateway::ConsiderDocument(const std::string& aIp, const rpc::FleetSyncReply& aReply)
 {
-  if (aReply.document_version() > mCandidateVersion && !aReply.document().empty()) {
-    mCandidateVersion = aReply.document_version();
-    mCandidate = aReply.document();
-    mClient->SetDocumentVersion(mCandidateVersion);
+  const DocumentIdentity offered = DocumentOf(aReply);
+  if (Supersedes(offered, mCandidate) && !aReply.document().empty()) {
+    mCandidate = offered;
+    mEncodedCandidate = aReply.document();
+    mCandidateAdopted = false;
+    mClient->SetDocument(mCandidate);
+  } else if (Confirms(offered, mCandidate)) {
+    mCandidate = offered;
+    mClient->SetDocument(mCandidate);
   }
   if (mVersion == 0) {
     mNewestVersionSeen = std::max<DocumentVersion>(mNewestVersionSeen, aReply.document_version());
@@ -404,7 +411,7 @@
       return;
     }
   }
-  if (mCandidateVersion > mVersion && mCandidateVersion >= mNewestVersionSeen) {
+  if (!mCandidateAdopted && mCandidate.mVersion > 0 && mCandidate.mVersion >= mNewestVersionSeen) {
     AdoptDocument();
   }
 }
@@ -412,18 +419,20 @@
 void
 Gateway::AdoptDocument()
 {
-  const auto stored = DecodeDocument(mCandidate);
+  mCandidateAdopted = true;
+  const auto stored = DecodeDocument(mEncodedCandidate);
   auto document = stored ? mProtocol.mDecodeDocument(stored->mBytes)
                          : Expected<RoutingDocument>(tl::unexpected(stored.error()));
   if (!document) {
     LogEvent(Event::ConfigurationNotAdopted,
-             { { "version", mCandidateVersion }, { "reason", document.error().mMessage } });
+             { { "version", mCandidate.mVersion }, { "reason", document.error().mMessage } });
     return;
   }
-  mVersion = mCandidateVersion;
+  mVersion = mCandidate.mVersion;
   mRelay.SetRouting(std::make_shared<RoutingTable>(*std::move(document)));
   LogEvent(Event::DocumentAdopted,
            { { "version", mVersion },
+             { "committed", mCandidate.mCommitted },
              { "current", mCurrentReplySeen },
              { "voters", mVotersHeard.size() } });
   if (!mSelf.mServing && !mStopping) {
--- a/tests/test_fleet_client.cpp
+++ b/tests/test_fleet_client.cpp
@@ -49,6 +49,7 @@
     aReply->mutable_self()->set_data_centre(mDataCentre);
     aReply->set_current(true);
     aReply->set_document_version(5);
+    aReply->set_document_digest(mDigest);
     if (aRequest->wants_document()) {
       aReply->set_document("document");
     }
@@ -64,6 +65,7 @@
 
   // Set before the first call.
   std::string mDataCentre;
+  std::uint64_t mDigest = 0;
 
 private:
   std::atomic<int> mAnswers;
@@ -81,6 +83,7 @@
   CPPUNIT_TEST(UnresponsiveCoordinatorDoesNotDelayShutdown);
   CPPUNIT_TEST(DocumentIsFetchedFromAnotherCoordinator);
   CPPUNIT_TEST(AllRecordsComeFromThePrimary);
+  CPPUNIT_TEST(CommittedDocumentReplacesOneThatWasOnlyLogged);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -177,6 +180,31 @@
     }
     near.Release();
   }
+
+  void CommittedDocumentReplacesOneThatWasOnlyLogged()
+  {
+    constexpr std::uint16_t kPort = 7953;
+    FakeCoordinator coordinator(TestIp(26), kPort, 1'000'000);
+    coordinator.mDigest = DocumentDigest("committed");
+    FleetClientSettings settings;
+    settings.mRpcPort = kPort;
+    settings.mSecurity.mPlaintext = true;
+    settings.mPause = milliseconds(50);
+    settings.mFetchDocuments = true;
+    for (const std::string held : { "dropped", "committed" }) {
+      Loop loop;
+      bool fetched = false;
+      FleetClient client(
+        loop, settings, [&](const std::string&, const rpc::FleetSyncReply& aReply) {
+          fetched |= !aReply.document().empty();
+        });
+      client.SetDocument({ 5, false, DocumentDigest(held) });
+      client.AddCoordinator(TestIp(26));
+      loop.AddTimer(SteadyNow() + milliseconds(1000), [&loop] { loop.Stop(); });
+      loop.Run();
+      CPPUNIT_ASSERT_EQUAL(held == "dropped", fetched);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetClientTest);
