Keep to the request limit that a replica names

A replica in need names the requests per second that it takes from all hosts together.

Class of fault: a wish of an upstream that no path of the relay knows. Every request leaves through StartAttempt, so one place counts and one place selects.

Change: the adapter decodes the header into UpstreamSignals. request_limit keeps a token bucket per replica; its rate is the limit divided by the active gateways, without a message between them. Where the share of a gateway would be below one request a second, gateways drawn by a hash get that much and the others only probe. ChooseReplica leaves out replicas at their limit, hedges leave out all that named one. If only limits hold a request back, it waits in the queue when its reply can still be in time, and is refused at once otherwise, before any of its parts is sent. A value that cannot be read changes nothing and is logged.

Ruled out: waiting until the deadline (late replies for everybody as long as the limit lasts); the factor of one and a half that the rule allows (the replica asked for less).

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -161,7 +161,9 @@
                                 ? aLimits.mMaxInFlight
                                 : aLimits.mMaxInFlightRemote;
     if (replica->mInfo.mState != UpstreamState::Ready || replica->mMisplaced ||
-        aExcluded.contains(replica->mInfo.mId) || replica->mInFlightSince.size() >= limit) {
+        aExcluded.contains(replica->mInfo.mId) || replica->mInFlightSince.size() >= limit ||
+        !AllowsRequest(replica->mRequestLimit, aNow) ||
+        (aLimits.mSpareLimited && replica->mRequestLimit.mTotal)) {
       continue;
     }
     const double cost = CostUs(*replica, aLimits, aTypicalLatency, aNow, aRng);
--- a/src/placement.h
+++ b/src/placement.h
@@ -8,6 +8,7 @@
 #define APRICOTYARD_PLACEMENT_H
 
 #include "latency.h"
+#include "request_limit.h"
 #include "types.h"
 
 #include <map>
@@ -40,6 +41,9 @@
   bool mMisplaced = false;
   // An open connection is available, so a request need not wait for a handshake.
   bool mConnected = true;
+  RequestLimit mRequestLimit;
+  // When an unreadable header of its replies was logged last.
+  TimePoint mUnreadableLoggedAt = TimePoint::min();
 };
 
 struct PlacementLimits
@@ -65,6 +69,8 @@
   // There are too few connections for every gateway to keep one to every replica. Each gateway then
   // prefers a fixed replica while that one performs well.
   bool mConnectionsScarce = false;
+  // Leaves out replicas with a request limit. For requests that are not necessary, such as hedges.
+  bool mSpareLimited = false;
 };
 
 // Share of a replica's connections that all gateways use together. When gateways lose power,
@@ -126,8 +132,8 @@
 ExpectedFailureRate(const ReplicaView& aReplica, TimePoint aNow);
 
 // Returns the replica with the lowest expected cost, or null if all are excluded, not ready,
-// misplaced or full. aExcluded holds replica identifiers. aTypicalLatency is the typical latency of
-// such a request.
+// misplaced, full or at their request limit. aExcluded holds replica identifiers. aTypicalLatency
+// is the typical latency of such a request.
 ReplicaView*
 ChooseReplica(std::span<ReplicaView* const> aReplicas,
               const std::set<std::string>& aExcluded,
--- a/src/platform_protocol.h
+++ b/src/platform_protocol.h
@@ -3,8 +3,10 @@
 #ifndef APRICOTYARD_PLATFORM_PROTOCOL_H
 #define APRICOTYARD_PLATFORM_PROTOCOL_H
 
+#include "http_client.h"
 #include "http_server.h"
 #include "routing.h"
+#include "upstream_signals.h"
 
 #include <functional>
 #include <optional>
@@ -68,6 +70,11 @@
     mEncodeGateways;
   // Encodes the response to Announce and Leave.
   std::function<HttpResponse()> mEncodeAcknowledged;
+  // Decodes what an upstream says about itself in a reply. Reports what cannot be read in the
+  // result. By default replies say nothing.
+  std::function<UpstreamSignals(const ClientReply&)> mDecodeSignals = [](const ClientReply&) {
+    return UpstreamSignals();
+  };
 };
 
 } // namespace apricotyard
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -12,6 +12,7 @@
 #include <charconv>
 #include <unordered_map>
 
+#include <absl/cleanup/cleanup.h>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 #include <strings.h>
@@ -49,6 +50,8 @@
 constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(450);
 // An idle connection is discarded this long before the replica would close it.
 constexpr std::chrono::seconds kIdleCloseMargin{ 1 };
+// An unreadable header of a replica is logged again after this time.
+constexpr Duration kUnreadableLogInterval = std::chrono::seconds(30);
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 
@@ -127,6 +130,8 @@
   std::vector<ReplicaView*> mReplicas;
   ExtraBudget mBudget;
   WaitQueue<WaitingSubrequest> mWaitQueue;
+  // Runs while queued sub-requests wait for a request limit.
+  TimerId mLimitTimer = 0;
 };
 
 // Lists the unanswered sub-requests with the replicas tried, as SERVICE=ID+ID,SERVICE=...
@@ -218,6 +223,14 @@
   bool Enqueue(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
   // Sends queued sub-requests of the service while replicas can take them.
   void SendQueued(const std::string& aService);
+  // When the request limits of the replicas allow the sub-request that follows aAhead others; now
+  // if a replica has no limit.
+  static TimePoint AllowedAt(const ServiceState& aService, std::size_t aAhead, TimePoint aNow);
+  // Whether request limits would keep a new sub-request waiting until its reply comes too late.
+  bool IsLimitedTooLong(const RelayedRequest& aRelayed, const ServiceState& aService) const;
+  // Calls SendQueued once a request limit allows the next sub-request.
+  void ScheduleLimitedSend(const std::string& aService);
+  void ApplySignals(ReplicaView& aReplica, const ClientReply& aReply);
   void OnHedgeTimer(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
   void OnReply(AttemptId aAttemptId, ClientReply aReply);
   void OnSubrequestAnswered(const std::shared_ptr<RelayedRequest>& aRelayed,
@@ -474,9 +487,10 @@
   return static_cast<std::size_t>(std::count_if(
     aRelayed.mSubrequests.begin(),
     aRelayed.mSubrequests.end(),
-    [this](const Subrequest& aSubrequest) {
+    [this, &aRelayed](const Subrequest& aSubrequest) {
       const auto service = mServices.find(aSubrequest.mService);
       return service != mServices.end() && service->second.mWaitQueue.Size() < kMaxQueuedRequests &&
+             !IsLimitedTooLong(aRelayed, service->second) &&
              std::any_of(service->second.mReplicas.begin(),
                          service->second.mReplicas.end(),
                          [](const ReplicaView* aReplica) {
@@ -691,6 +705,7 @@
   ++subrequest.mSendCount;
   ++subrequest.mPossibleRuns;
   replica->mInFlightSince.insert(now);
+  CountRequest(replica->mRequestLimit, now);
   if (attempt.mIsFirstSend) {
     CountFirstSend(mServices[subrequest.mService].mBudget, mSettings.mExtraSends, now);
   }
@@ -712,16 +727,93 @@
   }
 }
 
+TimePoint
+Relay::State::AllowedAt(const ServiceState& aService, std::size_t aAhead, TimePoint aNow)
+{
+  std::vector<const RequestLimit*> limits;
+  for (const ReplicaView* const replica : aService.mReplicas) {
+    if (replica->mInfo.mState == UpstreamState::Ready && !replica->mMisplaced) {
+      limits.push_back(&replica->mRequestLimit);
+    }
+  }
+  return limits.empty() ? aNow : NextRequestAt(limits, aAhead, aNow);
+}
+
+bool
+Relay::State::IsLimitedTooLong(const RelayedRequest& aRelayed, const ServiceState& aService) const
+{
+  const TimePoint now = SteadyNow();
+  const TimePoint allowedAt = AllowedAt(aService, aService.mWaitQueue.Size(), now);
+  if (allowedAt <= now) {
+    return false;
+  }
+  const auto latencies = mRouteLatencies.find(aRelayed.mRoute->mName);
+  const Duration typicalLatency =
+    latencies != mRouteLatencies.end()
+      ? TypicalLatency(latencies->second.mAll, aRelayed.mRoute->mObjective)
+      : Duration::zero();
+  return allowedAt + typicalLatency > aRelayed.mObjectiveAt;
+}
+
+void
+Relay::State::ScheduleLimitedSend(const std::string& aService)
+{
+  ServiceState& service = mServices[aService];
+  const TimePoint now = SteadyNow();
+  const TimePoint allowedAt = AllowedAt(service, 0, now);
+  if (service.mLimitTimer == 0 && allowedAt > now && service.mWaitQueue.Size() > 0) {
+    service.mLimitTimer = mLoop.AddTimer(allowedAt, [this, aService] {
+      mServices[aService].mLimitTimer = 0;
+      SendQueued(aService);
+    });
+  }
+}
+
+void
+Relay::State::ApplySignals(ReplicaView& aReplica, const ClientReply& aReply)
+{
+  const TimePoint now = SteadyNow();
+  const UpstreamSignals signals = mProtocol.mDecodeSignals(aReply);
+  if (!signals.mUnreadable.empty()) {
+    if (aReplica.mUnreadableLoggedAt == TimePoint::min() ||
+        aReplica.mUnreadableLoggedAt + kUnreadableLogInterval <= now) {
+      aReplica.mUnreadableLoggedAt = now;
+      LogEvent(Event::SignalUnreadable,
+               { { "upstream", aReplica.mInfo.mId }, { "header", signals.mUnreadable } });
+    }
+    return;
+  }
+  const std::optional<double> before = aReplica.mRequestLimit.mTotal;
+  UpdateRequestLimit(aReplica.mRequestLimit,
+                     signals.mRequestLimit,
+                     { mGatewayCount, HashToFraction(mLimits.mHost, aReplica.mInfo.mId) },
+                     now);
+  if (before.has_value() != signals.mRequestLimit.has_value()) {
+    LogEvent(Event::RequestLimitChanged,
+             { { "upstream", aReplica.mInfo.mId },
+               { "service", aReplica.mInfo.mService },
+               { "limit", signals.mRequestLimit.value_or(-1) },
+               { "share", aReplica.mRequestLimit.mShare },
+               { "gateways", mGatewayCount } });
+  }
+}
+
 bool
 Relay::State::Enqueue(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex)
 {
-  WaitQueue<WaitingSubrequest>& queue =
-    mServices[aRelayed->mSubrequests[aIndex].mService].mWaitQueue;
+  const std::string& service = aRelayed->mSubrequests[aIndex].mService;
+  if (IsLimitedTooLong(*aRelayed, mServices[service])) {
+    return false;
+  }
+  WaitQueue<WaitingSubrequest>& queue = mServices[service].mWaitQueue;
   queue.RemoveIf([](const WaitingSubrequest& aWaiting) {
     const auto owner = aWaiting.mOwner.lock();
     return owner == nullptr || owner->mFinished;
   });
-  return queue.Push({ aRelayed, aIndex }, aRelayed->mObjectiveAt, aRelayed->mRoute->mPriority);
+  const bool queued =
+    queue.Push({ aRelayed, aIndex }, aRelayed->mObjectiveAt, aRelayed->mRoute->mPriority);
+  ScheduleLimitedSend(service);
+  return queued;
 }
 
 void
@@ -735,6 +827,7 @@
     }
     if (!SendToNextReplica(owner, waiting->mSubrequestIndex)) {
       queue.Push(std::move(*waiting), owner->mObjectiveAt, owner->mRoute->mPriority);
+      ScheduleLimitedSend(aService);
       return;
     }
   }
@@ -758,6 +851,8 @@
 {
   Subrequest& subrequest = aRelayed->mSubrequests[aIndex];
   const TimePoint now = SteadyNow();
+  mLimits.mSpareLimited = aKind == ExtraSend::Hedge;
+  const auto restore = absl::MakeCleanup([this] { mLimits.mSpareLimited = false; });
   if (SelectReplica(*aRelayed, subrequest, now) == nullptr) {
     return false;
   }
@@ -788,6 +883,9 @@
   }
   const TimePoint now = SteadyNow();
   const Route& route = *aAttempt.mOwner->mRoute;
+  if (aReply.mEnd == TransferEnd::Complete && aEnd != AttemptEnd::Misplaced) {
+    ApplySignals(*replica->second, aReply);
+  }
   if (const auto idle = KeepAliveTimeout(aReply.Header("keep-alive"))) {
     replica->second->mIdleTimeout = *idle;
   }
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(DecodesDocument);
   CPPUNIT_TEST(RejectsMalformedDocuments);
   CPPUNIT_TEST(LimitsNumberOfGateways);
+  CPPUNIT_TEST(DecodesRequestLimit);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,6 +187,23 @@
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"), body["addrs"][0].get<std::string>());
     CPPUNIT_ASSERT_EQUAL(2.5, body["ttl_s"].get<double>());
   }
+
+  void DecodesRequestLimit()
+  {
+    const auto decode = [](const std::string& aValue) {
+      ClientReply reply;
+      reply.mRawHeaders = { { "Server-Limit", aValue } };
+      return MakePlatformProtocol().mDecodeSignals(reply);
+    };
+    CPPUNIT_ASSERT(!MakePlatformProtocol().mDecodeSignals({}).mRequestLimit);
+    CPPUNIT_ASSERT_EQUAL(31.4, decode("31.4").mRequestLimit.value_or(-1));
+    CPPUNIT_ASSERT_EQUAL(0.0, decode("0").mRequestLimit.value_or(-1));
+    for (const std::string unreadable : { "-1", "nan", "inf", "1e999", "many", "3 per second" }) {
+      CPPUNIT_ASSERT_MESSAGE(unreadable, !decode(unreadable).mRequestLimit);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        unreadable, std::string("server-limit"), decode(unreadable).mUnreadable);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformWireTest);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -61,6 +61,13 @@
   RelayFixture()
     : mRelay(mLoop, mProtocol, Settings(), mMetrics)
   {
+    mProtocol.mDecodeSignals = [](const ClientReply& aReply) {
+      UpstreamSignals signals;
+      if (const auto limit = aReply.Header("x-limit"); !limit.empty()) {
+        signals.mRequestLimit = std::stod(std::string(limit));
+      }
+      return signals;
+    };
     auto server = HttpServer::Builder(mLoop, { kGatewayIp, kGatewayPort })
                     .PreserveRawRequest()
                     .OnRequest([this](HttpRequest aRequest, HttpResponder aRespond) {
@@ -221,6 +228,17 @@
   };
 }
 
+// Responds and names a limit of requests per second.
+RequestHandler
+RespondWithLimit(const std::string& aLimit)
+{
+  return [=](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+    HttpResponse response = SignedResponse(aRequest, 200, "", "s1");
+    response.mHeaders.push_back({ "X-Limit", aLimit });
+    aRespond(std::move(response));
+  };
+}
+
 // Opens a non-blocking listening socket.
 int
 OpenListener(const SocketAddress& aAddress)
@@ -259,6 +277,9 @@
   CPPUNIT_TEST(OpensConnectionsBeforeFirstRequest);
   CPPUNIT_TEST(AbortAnswersQueuedRequests);
   CPPUNIT_TEST(InactiveRelayOpensNoConnections);
+  CPPUNIT_TEST(ReplicaGetsNoMoreRequestsThanItsLimit);
+  CPPUNIT_TEST(ReplicaWithoutLimitTakesTheRest);
+  CPPUNIT_TEST(HedgesSpareReplicasWithALimit);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -616,6 +637,61 @@
     close(connection);
     close(listener);
   }
+
+  void ReplicaGetsNoMoreRequestsThanItsLimit()
+  {
+    RelayFixture fixture;
+    FakeReplica& replica = fixture.AddReplica("s", RespondWithLimit("20"));
+    fixture.Publish(SingleServiceRoute(true));
+    const TimePoint start = SteadyNow();
+    int refused = 0;
+    for (int i = 0; i < 60; ++i) {
+      const TimePoint sentAt = SteadyNow();
+      const ClientReply reply = fixture.Get("/");
+      if (reply.mStatus == 503) {
+        ++refused;
+        // Known to be out of reach, so refused at once and not at the objective.
+        CPPUNIT_ASSERT(SteadyNow() - sentAt < milliseconds(60));
+        CPPUNIT_ASSERT(!reply.Header("retry-after").empty());
+      } else {
+        CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
+      }
+    }
+    const std::chrono::duration<double> elapsed = SteadyNow() - start;
+    CPPUNIT_ASSERT(static_cast<double>(replica.mReceived.size()) <= 2 + 20 * elapsed.count());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(60), replica.mReceived.size() + refused);
+  }
+
+  void ReplicaWithoutLimitTakesTheRest()
+  {
+    RelayFixture fixture;
+    const FakeReplica& limited = fixture.AddReplica("s", RespondWithLimit("1"));
+    const FakeReplica& other = fixture.AddReplica("s", RespondWith(200, "", "s2"));
+    fixture.Publish(SingleServiceRoute(true));
+    for (int i = 0; i < 40; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    }
+    CPPUNIT_ASSERT(limited.mReceived.size() <= 4);
+    CPPUNIT_ASSERT(other.mReceived.size() >= 36);
+  }
+
+  void HedgesSpareReplicasWithALimit()
+  {
+    RelayFixture fixture;
+    std::vector<HttpResponder> pending;
+    FakeReplica& limited = fixture.AddReplica("s", RespondWithLimit("100"));
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    // The limit of one request is used up and refilled while the silent replica is asked.
+    const FakeReplica& silent = fixture.AddReplica("s", NeverRespond(pending));
+    fixture.Publish(SingleServiceRoute(true));
+    for (int i = 0; i < 5 && silent.mReceived.empty(); ++i) {
+      limited.mReceived.clear();
+      fixture.Get("/");
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), silent.mReceived.size());
+    CPPUNIT_ASSERT(limited.mReceived.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
