Answer every request that a stopping gateway takes, and refuse those it cannot finish

Operators of similar systems saw requests that came late in the stop grace passed on and then cut without an answer. Here they were not cut: AbortOpenRequests answers them, and RelayTest:: AbortedRequestsAreAnsweredBeforeTheProcessEnds shows that 20 such answers reach their callers although the loop has ended (passed on the old code). But a request that arrived on a kept connection just before the end was still sent to a replica with the full deadline of its caller, and ended 502 when the process stopped, even if it may run only once: RelayTest::StoppingRelayRefusesWhatItCannotFinish failed before (the answer took longer than the 300 ms that were left).

Change: BeginStop takes the time by which answers must be final. Deadlines end there, and a request whose objective ends later is refused at once, not run, so that the caller goes to another gateway.

The report on replies that end inside their head cannot be reproduced: ReplyParserTest:: RejectsReplyThatEndsInsideItsHead cuts five replies at every byte and feeds them in pieces of every size, RelayTest:: ReplyThatEndsInsideItsHeadIsNoAnswer does the same on sockets; both passed on the old code.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -37,6 +37,8 @@
 constexpr Duration kInactiveSyncPause = std::chrono::milliseconds(4000);
 // The process stops this long before the end of the stop grace, even if requests are unfinished.
 constexpr Duration kStopReserve = std::chrono::milliseconds(400);
+// Requests that arrive during the stop are answered this long before the process stops.
+constexpr Duration kAnswerReserve = std::chrono::milliseconds(100);
 // New requests are accepted for this share of the stop grace less kStopReserve, because callers
 // keep using their list of gateways for a while.
 constexpr double kAcceptingShare = 0.75;
@@ -482,7 +484,7 @@
   mStopAt = now + usableGrace;
   mSelf.mServing = false;
   mClient->SetLocalHost(mSelf);
-  mRelay.BeginStop();
+  mRelay.BeginStop(mStopAt - kAnswerReserve);
   mLoop.AddPeriodic(kStopCheckInterval, [this] { CheckStopped(); });
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -288,6 +288,8 @@
   std::size_t mMaxIdleConnections = 0;
   bool mActive = true;
   bool mStopping = false;
+  // While stopping, when requests must have their final answer.
+  TimePoint mFinishBy = TimePoint::max();
 };
 
 Relay::Relay(Loop& aLoop,
@@ -328,9 +330,10 @@
 }
 
 void
-Relay::BeginStop()
+Relay::BeginStop(TimePoint aFinishBy)
 {
   mState->mStopping = true;
+  mState->mFinishBy = aFinishBy;
   mState->mLoop.CancelTimer(mState->mPreconnectTimer);
 }
 
@@ -434,12 +437,16 @@
       millis > 0) {
     allowed = std::min<Duration>(allowed, std::chrono::milliseconds(millis));
   }
-  relayed.mDeadline = relayed.mArrivedAt + allowed;
+  relayed.mDeadline = std::min(relayed.mArrivedAt + allowed, mFinishBy);
   relayed.mObjectiveAt =
     relayed.mArrivedAt + std::max<Duration>(route.mObjective - (relayed.mRequest.mFirstOnConnection
                                                                   ? kFirstCallerTransitTime
                                                                   : kCallerTransitTime),
                                             Duration::zero());
+  if (relayed.mObjectiveAt > mFinishBy) {
+    Finish(aRelayed, MakeRefusal(Result::Stopping, "the gateway stops before it could answer"));
+    return;
+  }
   if (!SelectSubrequests(relayed)) {
     Finish(aRelayed, MakeRefusal(Result::NoReplica, "too few replicas can take the request"));
     return;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -280,6 +280,9 @@
   CPPUNIT_TEST(ReplicaGetsNoMoreRequestsThanItsLimit);
   CPPUNIT_TEST(ReplicaWithoutLimitTakesTheRest);
   CPPUNIT_TEST(HedgesSpareReplicasWithALimit);
+  CPPUNIT_TEST(ReplyThatEndsInsideItsHeadIsNoAnswer);
+  CPPUNIT_TEST(AbortedRequestsAreAnsweredBeforeTheProcessEnds);
+  CPPUNIT_TEST(StoppingRelayRefusesWhatItCannotFinish);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -566,7 +569,7 @@
     fixture.AddReplica("s", RespondWith(200, "answer", "sig"));
     fixture.Publish(SingleServiceRoute(true));
     CPPUNIT_ASSERT(fixture.Get("/q").Header("connection") != "close");
-    fixture.TestedRelay().BeginStop();
+    fixture.TestedRelay().BeginStop(SteadyNow() + seconds(5));
     CPPUNIT_ASSERT_EQUAL(std::string("close"), std::string(fixture.Get("/q").Header("connection")));
   }
 
@@ -692,6 +695,89 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), silent.mReceived.size());
     CPPUNIT_ASSERT(limited.mReceived.empty());
   }
+
+  void ReplyThatEndsInsideItsHeadIsNoAnswer()
+  {
+    const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signature: s1\r\nContent-Length: 5\r\n";
+    for (std::size_t length = 1; length <= head.size(); ++length) {
+      RelayFixture fixture;
+      FakeReplica& replica = fixture.AddReplica("s", RespondWith(200, "", "s1"));
+      replica.mServer.reset();
+      const int listener = OpenListener(replica.mInfo.mAddress);
+      std::vector<int> accepted;
+      fixture.EventLoop().AddFd(listener, EPOLLIN, [&](std::uint32_t) {
+        const int connection = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+        accepted.push_back(connection);
+        fixture.EventLoop().AddFd(connection, EPOLLIN, [&, connection](std::uint32_t) {
+          char request[4096];
+          if (recv(connection, request, sizeof(request), 0) > 0) {
+            CPPUNIT_ASSERT(send(connection, head.data(), length, MSG_NOSIGNAL) > 0);
+          }
+          fixture.EventLoop().RemoveFd(connection);
+          close(connection);
+        });
+      });
+      fixture.Publish(SingleServiceRoute(false));
+      CPPUNIT_ASSERT_EQUAL(502, fixture.Get("/q").mStatus);
+      fixture.EventLoop().RemoveFd(listener);
+      close(listener);
+    }
+  }
+
+  void AbortedRequestsAreAnsweredBeforeTheProcessEnds()
+  {
+    std::vector<HttpResponder> pending;
+    auto fixture = std::make_unique<RelayFixture>();
+    fixture->AddReplica("s", NeverRespond(pending));
+    fixture->Publish(SingleServiceRoute(false));
+    const auto gateway = ToNative({ kGatewayIp, kGatewayPort });
+    std::vector<int> callers;
+    for (int i = 0; i < 20; ++i) {
+      const int caller = socket(AF_INET, SOCK_STREAM, 0);
+      CPPUNIT_ASSERT_EQUAL(0, connect(caller, gateway->Raw(), gateway->mLength));
+      const std::string request = "GET /q HTTP/1.1\r\nHost: h\r\nX-Id: id-1\r\n\r\n";
+      CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(request.size()),
+                           send(caller, request.data(), request.size(), 0));
+      callers.push_back(caller);
+    }
+    fixture->EventLoop().AddTimer(SteadyNow() + milliseconds(200), [&fixture] {
+      fixture->TestedRelay().AbortOpenRequests();
+      fixture->EventLoop().Stop();
+    });
+    fixture->EventLoop().Run();
+    pending.clear();
+    fixture.reset();
+    for (const int caller : callers) {
+      std::string answer(4096, '\0');
+      const ssize_t count = recv(caller, answer.data(), answer.size(), 0);
+      CPPUNIT_ASSERT(count > 0);
+      answer.resize(static_cast<std::size_t>(count));
+      CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 50"));
+      CPPUNIT_ASSERT(answer.ends_with("}}"));
+      close(caller);
+    }
+  }
+
+  void StoppingRelayRefusesWhatItCannotFinish()
+  {
+    std::vector<HttpResponder> pending;
+    RelayFixture fixture;
+    const FakeReplica& replica = fixture.AddReplica("s", NeverRespond(pending));
+    fixture.Publish(SingleServiceRoute(false));
+    fixture.TestedRelay().BeginStop(SteadyNow() + milliseconds(300));
+    // Still time for a request, which gets a final answer before the process ends.
+    const TimePoint sentAt = SteadyNow();
+    CPPUNIT_ASSERT_EQUAL(504, fixture.Get("/q").mStatus);
+    CPPUNIT_ASSERT(SteadyNow() - sentAt < milliseconds(310));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), replica.mReceived.size());
+    CPPUNIT_ASSERT(std::stoi(std::string(replica.mReceived.front().Header("x-left"))) <= 300);
+    // None left for another one.
+    const ClientReply refused = fixture.Get("/q");
+    CPPUNIT_ASSERT_EQUAL(503, refused.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::string("close"), std::string(refused.Header("connection")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), replica.mReceived.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
--- a/tests/test_reply_parser.cpp
+++ b/tests/test_reply_parser.cpp
@@ -146,9 +146,37 @@
   CPPUNIT_TEST(RejectsReplyWithoutRequiredHeader);
   CPPUNIT_TEST(FindsHeadersInAnyCase);
   CPPUNIT_TEST(RejectsEndlessReplies);
+  CPPUNIT_TEST(RejectsReplyThatEndsInsideItsHead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void RejectsReplyThatEndsInsideItsHead()
+  {
+    for (const std::string whole :
+         { "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Signature: s\r\nContent-Length: 12\r\n\r\n",
+           "HTTP/1.1 200 OK\nX-Id: 7\nContent-Length: 12\n\n",
+           "HTTP/1.1 200 OK\r\nX-Id: 7\r\nConnection: close\r\n\r\n",
+           "HTTP/1.0 200 OK\r\nX-Id: 7\r\n\r\n",
+           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }) {
+      for (std::size_t length = 0; length < whole.size(); ++length) {
+        for (std::size_t pieceSize = 1; pieceSize <= std::max<std::size_t>(length, 1);
+             ++pieceSize) {
+          const ClientRequest request = Request();
+          ReplyParser parser(request);
+          ParseStep step = ParseStep::NeedsMore;
+          for (std::size_t at = 0; at < length && step == ParseStep::NeedsMore; at += pieceSize) {
+            step =
+              parser.Feed(std::string_view(whole).substr(at, std::min(pieceSize, length - at)));
+          }
+          if (step == ParseStep::NeedsMore) {
+            step = parser.End();
+          }
+          CPPUNIT_ASSERT_MESSAGE(whole.substr(0, length), step == ParseStep::Malformed);
+        }
+      }
+    }
+  }
+
   void ParsesRepliesInPiecesOfEverySize()
   {
     for (const ReplyCase& testCase : kReplyCases) {
