Accept changes while only the leader's disk is full

Operators of similar systems saw changes refused or unanswered when disks were full one after the other.

Cause: RaftMember::Propose refused as soon as a write of its own waited for space. An entry needs a majority of disks, not that of the leader.

Change: a leader with a full disk goes on while the other voters that answer are a majority and at most 64 entries wait in memory.

Ruled out: a state that outlasts the full disk. RaftNodeTest::ChangesAreAcceptedWhileOneDiskIsFull fills the disks in turn for six rounds; it failed in the first round before ("the disk of ... is full") and all members hold all changes now. ChangesAreRefusedWhileNoMajorityCanWrite passed before as well.

--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -1154,6 +1154,17 @@
   return aNow < quorumAck + lease;
 }
 
+bool
+RaftCommitsWithoutSelf(const Raft& aRaft, TimePoint aNow)
+{
+  const auto& members = RaftMembers(aRaft);
+  const auto active = std::count_if(members.begin(), members.end(), [&](const LogMember& aMember) {
+    return aMember.mRole == MemberRole::Voter && aMember.mId != aRaft.mSettings.mSelf &&
+           RecentlyActive(aRaft, aMember.mId, aNow);
+  });
+  return static_cast<std::size_t>(active) > VoterCount(members) / 2;
+}
+
 std::uint64_t
 RaftLastIndex(const Raft& aRaft)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -330,6 +330,11 @@
 bool
 RaftLeading(const Raft& aRaft, TimePoint aNow);
 
+// True if the other voters that answered this leader within an election timeout are a majority, so
+// that entries are committed although this member has not synced them.
+bool
+RaftCommitsWithoutSelf(const Raft& aRaft, TimePoint aNow);
+
 std::uint64_t
 RaftLastIndex(const Raft& aRaft);
 // The term of the entry at aIndex, or nothing if the log does not hold that entry.
--- a/src/raft_member.cpp
+++ b/src/raft_member.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Entries that a leader with a full disk accepts before it refuses proposals.
+constexpr std::uint64_t kMaxUnsyncedEntries = 64;
+
 // Terms that a recovered member skips, so that its term exceeds any term that the lost members
 // reached after their last contact with it.
 constexpr std::uint64_t kRecoveryTermGap = 1'000'000;
@@ -109,10 +112,19 @@
     aNow);
 }
 
+// While the disk of this leader is full, the other voters can still commit. The entries that wait
+// for space are kept in memory, so their number is limited.
+bool
+RaftMember::MayPropose(TimePoint aNow) const
+{
+  return !DiskIsFull() || (RaftCommitsWithoutSelf(mRaft, aNow) &&
+                           RaftLastIndex(mRaft) - mRaft.mSyncedIndex < kMaxUnsyncedEntries);
+}
+
 void
 RaftMember::Propose(std::string aCommand, OutcomeHandler aDone, TimePoint aNow)
 {
-  if (DiskIsFull()) {
+  if (!MayPropose(aNow)) {
     aDone(Fail(Result::DiskFull, fmt::format("the disk of {} is full", mStorage->Folder())));
     return;
   }
--- a/src/raft_member.h
+++ b/src/raft_member.h
@@ -77,6 +77,8 @@
     DoneHandler mDone;
   };
 
+  bool MayPropose(TimePoint aNow) const;
+
   RaftMember(MemberSettings aSettings, const Chart& aChart)
     : mSettings(std::move(aSettings))
     , mChart(aChart)
--- a/tests/test_raft_node.cpp
+++ b/tests/test_raft_node.cpp
@@ -3,7 +3,9 @@
 #include "raft_node.h"
 #include "test_address.h"
 
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <filesystem>
 #include <future>
 #include <thread>
@@ -185,6 +187,26 @@
   std::thread mThread;
 };
 
+using FullDisks = std::array<std::atomic<bool>, 3>;
+
+// Starts the members. Writes of a member fail while its element of the result is true.
+std::shared_ptr<FullDisks>
+StartWithFullDisks(TestGroup& aGroup, int aMembers)
+{
+  auto full = std::make_shared<FullDisks>();
+  auto next = std::make_shared<std::size_t>(0);
+  aGroup.mCustomise = [full, next](RaftNode::Builder& aBuilder) {
+    FileOps ops = SystemFileOps();
+    ops.mWrite = [full, member = (*next)++, write = ops.mWrite](
+                   int aFd, std::string_view aData, std::uint64_t aOffset) -> ssize_t {
+      return (*full)[member] ? -ENOSPC : write(aFd, aData, aOffset);
+    };
+    aBuilder.Files(ops);
+  };
+  aGroup.StartAll(aMembers);
+  return full;
+}
+
 } // namespace
 
 class RaftNodeTest : public CppUnit::TestFixture
@@ -195,6 +217,8 @@
   CPPUNIT_TEST(MemberWithNewDiskRejoinsAsLearner);
   CPPUNIT_TEST(RecoveredMemberIsOnlyVoter);
   CPPUNIT_TEST(FailedSyncStopsMember);
+  CPPUNIT_TEST(ChangesAreAcceptedWhileOneDiskIsFull);
+  CPPUNIT_TEST(ChangesAreRefusedWhileNoMajorityCanWrite);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -312,6 +336,51 @@
                       .has_value());
   }
 
+  // Disks fill up one after the other, beginning with that of the leader.
+  void ChangesAreAcceptedWhileOneDiskIsFull()
+  {
+    TestGroup group;
+    const auto full = StartWithFullDisks(group, 3);
+    std::string expected;
+    for (int round = 0; round < 6; ++round) {
+      const int leader = group.Leader();
+      const int member = (leader + round - 1) % 3;
+      (*full)[static_cast<std::size_t>(member)] = true;
+      for (int i = 0; i < 10; ++i) {
+        const std::string command = std::to_string(round) + "-" + std::to_string(i);
+        const auto outcome = group.Propose(leader, command);
+        CPPUNIT_ASSERT_MESSAGE(outcome ? "" : outcome.error().mMessage, outcome.has_value());
+        expected += command + ";";
+      }
+      (*full)[static_cast<std::size_t>(member)] = false;
+    }
+    for (int member = 1; member <= 3; ++member) {
+      CPPUNIT_ASSERT(group.ReadReturns(member, expected));
+    }
+  }
+
+  void ChangesAreRefusedWhileNoMajorityCanWrite()
+  {
+    TestGroup group;
+    const auto full = StartWithFullDisks(group, 1);
+    CPPUNIT_ASSERT(group.Propose(group.Leader(), "a").has_value());
+    (*full)[0] = true;
+    // The first one finds the disk full and waits for space, the next ones are refused.
+    auto waiting = std::make_shared<std::promise<Expected<std::string>>>();
+    group.Call([&] {
+      group.mNodes[1]->Propose("b", [waiting](Expected<std::string> aOutcome) {
+        waiting->set_value(std::move(aOutcome));
+      });
+    });
+    CPPUNIT_ASSERT(group.WaitUntil([&] { return group.mNodes[1]->Status().mLastIndex >= 4; }));
+    const auto refused = group.Propose(1, "c");
+    CPPUNIT_ASSERT(!refused && refused.error().mResult == Result::DiskFull);
+    (*full)[0] = false;
+    CPPUNIT_ASSERT(waiting->get_future().get().has_value());
+    CPPUNIT_ASSERT(group.Propose(1, "d").has_value());
+    CPPUNIT_ASSERT(group.ReadReturns(1, "a;b;d;"));
+  }
+
   // After a failed sync the member must acknowledge nothing.
   void FailedSyncStopsMember()
   {
