Count only voters with the same member list as a majority

A gateway that starts while no coordinator leads uses the newest document that a majority of the voters has logged. A voter that was replaced while it was without power still counts itself, by its own older member list. Together with one present voter it made up two of three, though the two other present ones may alone hold the last acknowledged document: the gateway would serve an older one until a leader is elected.

Change: replies carry the log index of the sender's member list, and a majority is counted among the voters with the newest list heard of. The lists of two successive changes have overlapping majorities, so no majority of an older list is without a holder of the newer one.

DocumentChoiceTest::RemovedVoterDoesNotCompleteAMajority has the case; the old count of addresses gave a majority there (2 > 3 / 2).

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -560,6 +560,7 @@
   const LogStatus status = mLog->Status();
   reply.set_current(status.mLeading || !status.mLeader.empty());
   reply.set_voters(CountVotersIfVoter(status));
+  reply.set_voter_list(status.mMembersIndex);
   FillDocument(aRequest, reply);
   const bool sameIncarnation = aRequest.cursor_incarnation() == mSelf.mIncarnation;
   const std::uint64_t cursor = sameIncarnation ? aRequest.cursor() : 0;
--- a/src/document_choice.cpp
+++ b/src/document_choice.cpp
@@ -25,4 +25,25 @@
          aOffered.mDigest == aHeld.mDigest;
 }
 
+void
+AddVoter(VoterPoll& aPoll, const std::string& aIp, std::uint64_t aList, std::uint32_t aVoters)
+{
+  if (aList < aPoll.mList) {
+    aPoll.mHeard.erase(aIp);
+    return;
+  }
+  if (aList > aPoll.mList) {
+    aPoll.mHeard.clear();
+  }
+  aPoll.mList = aList;
+  aPoll.mVoters = aVoters;
+  aPoll.mHeard.insert(aIp);
+}
+
+bool
+HasMajority(const VoterPoll& aPoll)
+{
+  return aPoll.mHeard.size() > aPoll.mVoters / 2;
+}
+
 } // namespace apricotyard
--- a/src/document_choice.h
+++ b/src/document_choice.h
@@ -9,6 +9,8 @@
 #include "routing.h"
 
 #include <cstdint>
+#include <set>
+#include <string>
 #include <string_view>
 
 namespace apricotyard {
@@ -37,6 +39,26 @@
 bool
 Confirms(const DocumentIdentity& aOffered, const DocumentIdentity& aHeld);
 
+// The voters of the control group that a gateway has heard since its start. A voter that was
+// removed while it was out of contact still counts itself, with an older member list.
+struct VoterPoll
+{
+  // The newest member list heard of, by its log index, and its number of voters.
+  std::uint64_t mList = 0;
+  std::uint32_t mVoters = 0;
+  // IP addresses of the voters that hold this list.
+  std::set<std::string> mHeard;
+};
+
+// Adds the reply of a voter. Precondition: aVoters is not 0.
+void
+AddVoter(VoterPoll& aPoll, const std::string& aIp, std::uint64_t aList, std::uint32_t aVoters);
+
+// Whether the voters heard are a majority, so that one of them has logged each acknowledged
+// document.
+bool
+HasMajority(const VoterPoll& aPoll);
+
 } // namespace apricotyard
 
 #endif
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -11,7 +11,6 @@
 #include "relay.h"
 
 #include <algorithm>
-#include <set>
 
 namespace apricotyard {
 
@@ -118,12 +117,10 @@
   std::string mEncodedCandidate;
   bool mCandidateAdopted = false;
   // Used until the first document is adopted: the newest version that a coordinator has reported,
-  // whether a coordinator in contact with its group or a majority of the voters has replied, and
-  // the IP addresses of the voters that have replied.
+  // whether a coordinator in contact with its group has replied, and the voters that have.
   DocumentVersion mNewestVersionSeen = 0;
   bool mCurrentReplySeen = false;
-  bool mVoterMajoritySeen = false;
-  std::set<std::string> mVotersHeard;
+  VoterPoll mVoters;
   // What one coordinator said last of the gateways.
   struct SubsetReport
   {
@@ -406,10 +403,9 @@
     mNewestVersionSeen = std::max<DocumentVersion>(mNewestVersionSeen, aReply.document_version());
     mCurrentReplySeen |= aReply.current();
     if (aReply.voters() > 0) {
-      mVotersHeard.insert(aIp);
-      mVoterMajoritySeen |= mVotersHeard.size() > aReply.voters() / 2;
+      AddVoter(mVoters, aIp, aReply.voter_list(), aReply.voters());
     }
-    if (!mCurrentReplySeen && !mVoterMajoritySeen) {
+    if (!mCurrentReplySeen && !HasMajority(mVoters)) {
       return;
     }
   }
@@ -436,7 +432,7 @@
            { { "version", mVersion },
              { "committed", mCandidate.mCommitted },
              { "current", mCurrentReplySeen },
-             { "voters", mVotersHeard.size() } });
+             { "voters", mVoters.mHeard.size() } });
   if (!mSelf.mServing && !mStopping) {
     mSelf.mServing = true;
     mClient->SetLocalHost(mSelf);
--- a/src/raft_member.cpp
+++ b/src/raft_member.cpp
@@ -414,6 +414,7 @@
   status.mCommitted = mRaft.mCommitIndex;
   status.mApplied = mAppliedIndex;
   status.mMembers = RaftMembers(mRaft);
+  status.mMembersIndex = mRaft.mMembers.rbegin()->first;
   for (LogMember& member : status.mMembers) {
     const auto progress = mRaft.mProgress.find(member.mId);
     if (member.mId == status.mSelf) {
--- a/src/replicated_log.h
+++ b/src/replicated_log.h
@@ -59,6 +59,8 @@
   std::uint64_t mCommitted = 0;
   std::uint64_t mApplied = 0;
   std::vector<LogMember> mMembers;
+  // Log index of mMembers.
+  std::uint64_t mMembersIndex = 0;
 };
 
 // Not thread-safe: all methods must be called on the loop's thread. Each callback runs exactly
--- a/tests/test_document_choice.cpp
+++ b/tests/test_document_choice.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(NewerVersionIsUsed);
   CPPUNIT_TEST(CommittedDocumentReplacesDroppedOneOfTheSameVersion);
   CPPUNIT_TEST(EqualDocumentIsConfirmedAndNotFetched);
+  CPPUNIT_TEST(RemovedVoterDoesNotCompleteAMajority);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -43,6 +44,21 @@
     CPPUNIT_ASSERT(!Confirms(logged, logged));
     CPPUNIT_ASSERT(!Confirms(committed, committed));
   }
+
+  // Host 1 was replaced by host 4 in the list of index 20. Only 3 and 4 hold what came after it.
+  void RemovedVoterDoesNotCompleteAMajority()
+  {
+    VoterPoll poll;
+    CPPUNIT_ASSERT(!HasMajority(poll));
+    AddVoter(poll, "1", 1, 3);
+    CPPUNIT_ASSERT(!HasMajority(poll));
+    AddVoter(poll, "2", 20, 3);
+    CPPUNIT_ASSERT(!HasMajority(poll));
+    AddVoter(poll, "1", 1, 3);
+    CPPUNIT_ASSERT(!HasMajority(poll));
+    AddVoter(poll, "3", 20, 3);
+    CPPUNIT_ASSERT(HasMajority(poll));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DocumentChoiceTest);
