Leave replicas alone that announce their stop or name a time without requests

Change: the adapter decodes both into UpstreamSignals beside the request limit. replica_signals applies them to the view of the replica: a leaving one gets no new request from this gateway for the rest of its incarnation; one that names a time gets none until it has passed, prolonged by up to a fifth so that gateways do not return together, and 60 s at most, after which one request at a time is sent. Unreadable values change nothing and are logged every 30 s; replies without a signature say nothing, unless they state that the request was not run.

Queued requests were sent before the reply that freed their place was evaluated, so the next one would have gone to the replica that had just announced its stop (LeavingReplicaGetsNoQueuedRequest: expected 1 request, got 2); they are sent after it now. Queued requests of a service without any usable replica fail at once instead of waiting for their deadline.

Ruled out: leaving replicas as a last resort until the drain time has passed; the gateway cannot know when a caller sent a request that arrives late.

With the two conditions taken out of the selection, each of the paths' tests fails: first send, part of a gather, retry and hedge, queue, connection ahead, refusal at once.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -1,5 +1,7 @@
 #include "placement.h"
 
+#include "replica_signals.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -160,9 +162,8 @@
     const std::size_t limit = replica->mInfo.mDataCentre == aLimits.mDataCentre
                                 ? aLimits.mMaxInFlight
                                 : aLimits.mMaxInFlightRemote;
-    if (replica->mInfo.mState != UpstreamState::Ready || replica->mMisplaced ||
-        aExcluded.contains(replica->mInfo.mId) || replica->mInFlightSince.size() >= limit ||
-        !AllowsRequest(replica->mRequestLimit, aNow) ||
+    if (!TakesRequest(*replica, aNow) || aExcluded.contains(replica->mInfo.mId) ||
+        replica->mInFlightSince.size() >= limit ||
         (aLimits.mSpareLimited && replica->mRequestLimit.mTotal)) {
       continue;
     }
--- a/src/placement.h
+++ b/src/placement.h
@@ -42,6 +42,11 @@
   // An open connection is available, so a request need not wait for a handshake.
   bool mConnected = true;
   RequestLimit mRequestLimit;
+  // It announced that it is about to stop.
+  bool mLeaving = false;
+  // It wants no request until this time, at its own wish. mHoldCut is true if it wished for longer.
+  TimePoint mHeldUntil = TimePoint::min();
+  bool mHoldCut = false;
   // When an unreadable header of its replies was logged last.
   TimePoint mUnreadableLoggedAt = TimePoint::min();
 };
@@ -131,8 +136,8 @@
 double
 ExpectedFailureRate(const ReplicaView& aReplica, TimePoint aNow);
 
-// Returns the replica with the lowest expected cost, or null if all are excluded, not ready,
-// misplaced, full or at their request limit. aExcluded holds replica identifiers. aTypicalLatency
+// Returns the replica with the lowest expected cost, or null if all are excluded, not usable, full,
+// or want no request now. aExcluded holds replica identifiers. aTypicalLatency
 // is the typical latency of such a request.
 ReplicaView*
 ChooseReplica(std::span<ReplicaView* const> aReplicas,
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "relay_metrics.h"
 #include "relay_policy.h"
+#include "replica_signals.h"
 #include "settings.h"
 #include "top_records.h"
 #include "wait_queue.h"
@@ -130,8 +131,8 @@
   std::vector<ReplicaView*> mReplicas;
   ExtraBudget mBudget;
   WaitQueue<WaitingSubrequest> mWaitQueue;
-  // Runs while queued sub-requests wait for a request limit.
-  TimerId mLimitTimer = 0;
+  // Runs while queued sub-requests wait until a replica wants one.
+  TimerId mQueueTimer = 0;
 };
 
 // Lists the unanswered sub-requests with the replicas tried, as SERVICE=ID+ID,SERVICE=...
@@ -221,16 +222,15 @@
                  ExtraSend aKind);
   // Queues a sub-request until a replica can take it. False if the queue is full.
   bool Enqueue(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
-  // Sends queued sub-requests of the service while replicas can take them.
+  // Sends queued sub-requests of the service while replicas can take them. Without any replica that
+  // may take them later, they fail.
   void SendQueued(const std::string& aService);
-  // When the request limits of the replicas allow the sub-request that follows aAhead others; now
-  // if a replica has no limit.
-  static TimePoint AllowedAt(const ServiceState& aService, std::size_t aAhead, TimePoint aNow);
-  // Whether request limits would keep a new sub-request waiting until its reply comes too late.
-  bool IsLimitedTooLong(const RelayedRequest& aRelayed, const ServiceState& aService) const;
-  // Calls SendQueued once a request limit allows the next sub-request.
-  void ScheduleLimitedSend(const std::string& aService);
-  void ApplySignals(ReplicaView& aReplica, const ClientReply& aReply);
+  // Whether the replicas' own words would keep a new sub-request waiting until its reply comes too
+  // late.
+  bool WouldWaitTooLong(const RelayedRequest& aRelayed, const ServiceState& aService) const;
+  // Calls SendQueued once the replicas' own words allow the next sub-request.
+  void ScheduleQueuedSend(const std::string& aService);
+  void HandleSignals(ReplicaView& aReplica, const ClientReply& aReply);
   void OnHedgeTimer(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
   void OnReply(AttemptId aAttemptId, ClientReply aReply);
   void OnSubrequestAnswered(const std::shared_ptr<RelayedRequest>& aRelayed,
@@ -364,6 +364,13 @@
   State& state = *mState;
   const TimePoint now = SteadyNow();
   state.mMetrics.SetOpenRequests(state.mOpenRequests.size());
+  ReplicaCounts counts;
+  for (const auto& [id, replica] : state.mReplicas) {
+    counts.mLimited += replica->mRequestLimit.mTotal ? 1 : 0;
+    counts.mLeaving += replica->mLeaving ? 1 : 0;
+    counts.mHeld += replica->mHeldUntil > now ? 1 : 0;
+  }
+  state.mMetrics.SetReplicaCounts(counts);
   for (auto& [name, service] : state.mServices) {
     state.mMetrics.SetBudgetUsed(
       name, ExtraBudgetUsed(service.mBudget, state.ExtraSendLimits(), state.mGatewayCount, now));
@@ -497,13 +504,10 @@
     [this, &aRelayed](const Subrequest& aSubrequest) {
       const auto service = mServices.find(aSubrequest.mService);
       return service != mServices.end() && service->second.mWaitQueue.Size() < kMaxQueuedRequests &&
-             !IsLimitedTooLong(aRelayed, service->second) &&
+             !WouldWaitTooLong(aRelayed, service->second) &&
              std::any_of(service->second.mReplicas.begin(),
                          service->second.mReplicas.end(),
-                         [](const ReplicaView* aReplica) {
-                           return aReplica->mInfo.mState == UpstreamState::Ready &&
-                                  !aReplica->mMisplaced;
-                         });
+                         [](const ReplicaView* aReplica) { return IsUsable(*aReplica); });
     }));
 }
 
@@ -734,23 +738,11 @@
   }
 }
 
-TimePoint
-Relay::State::AllowedAt(const ServiceState& aService, std::size_t aAhead, TimePoint aNow)
-{
-  std::vector<const RequestLimit*> limits;
-  for (const ReplicaView* const replica : aService.mReplicas) {
-    if (replica->mInfo.mState == UpstreamState::Ready && !replica->mMisplaced) {
-      limits.push_back(&replica->mRequestLimit);
-    }
-  }
-  return limits.empty() ? aNow : NextRequestAt(limits, aAhead, aNow);
-}
-
 bool
-Relay::State::IsLimitedTooLong(const RelayedRequest& aRelayed, const ServiceState& aService) const
+Relay::State::WouldWaitTooLong(const RelayedRequest& aRelayed, const ServiceState& aService) const
 {
   const TimePoint now = SteadyNow();
-  const TimePoint allowedAt = AllowedAt(aService, aService.mWaitQueue.Size(), now);
+  const TimePoint allowedAt = TakesRequestAt(aService.mReplicas, aService.mWaitQueue.Size(), now);
   if (allowedAt <= now) {
     return false;
   }
@@ -763,39 +755,34 @@
 }
 
 void
-Relay::State::ScheduleLimitedSend(const std::string& aService)
+Relay::State::ScheduleQueuedSend(const std::string& aService)
 {
   ServiceState& service = mServices[aService];
   const TimePoint now = SteadyNow();
-  const TimePoint allowedAt = AllowedAt(service, 0, now);
-  if (service.mLimitTimer == 0 && allowedAt > now && service.mWaitQueue.Size() > 0) {
-    service.mLimitTimer = mLoop.AddTimer(allowedAt, [this, aService] {
-      mServices[aService].mLimitTimer = 0;
+  const TimePoint allowedAt = TakesRequestAt(service.mReplicas, 0, now);
+  if (service.mQueueTimer == 0 && allowedAt > now && service.mWaitQueue.Size() > 0) {
+    service.mQueueTimer = mLoop.AddTimer(allowedAt, [this, aService] {
+      mServices[aService].mQueueTimer = 0;
       SendQueued(aService);
     });
   }
 }
 
 void
-Relay::State::ApplySignals(ReplicaView& aReplica, const ClientReply& aReply)
+Relay::State::HandleSignals(ReplicaView& aReplica, const ClientReply& aReply)
 {
   const TimePoint now = SteadyNow();
   const UpstreamSignals signals = mProtocol.mDecodeSignals(aReply);
-  if (!signals.mUnreadable.empty()) {
-    if (aReplica.mUnreadableLoggedAt == TimePoint::min() ||
-        aReplica.mUnreadableLoggedAt + kUnreadableLogInterval <= now) {
-      aReplica.mUnreadableLoggedAt = now;
-      LogEvent(Event::SignalUnreadable,
-               { { "upstream", aReplica.mInfo.mId }, { "header", signals.mUnreadable } });
-    }
-    return;
-  }
-  const std::optional<double> before = aReplica.mRequestLimit.mTotal;
-  UpdateRequestLimit(aReplica.mRequestLimit,
-                     signals.mRequestLimit,
-                     { mGatewayCount, HashToFraction(mLimits.mHost, aReplica.mInfo.mId) },
-                     now);
-  if (before.has_value() != signals.mRequestLimit.has_value()) {
+  if (!signals.mUnreadable.empty() &&
+      (aReplica.mUnreadableLoggedAt == TimePoint::min() ||
+       aReplica.mUnreadableLoggedAt + kUnreadableLogInterval <= now)) {
+    aReplica.mUnreadableLoggedAt = now;
+    LogEvent(Event::SignalUnreadable,
+             { { "upstream", aReplica.mInfo.mId }, { "header", signals.mUnreadable } });
+  }
+  const SignalChange change = ApplySignals(
+    aReplica, signals, { mGatewayCount, HashToFraction(mLimits.mHost, aReplica.mInfo.mId) }, now);
+  if (change.mLimitChanged) {
     LogEvent(Event::RequestLimitChanged,
              { { "upstream", aReplica.mInfo.mId },
                { "service", aReplica.mInfo.mService },
@@ -803,13 +790,24 @@
                { "share", aReplica.mRequestLimit.mShare },
                { "gateways", mGatewayCount } });
   }
+  if (change.mLeavingChanged) {
+    LogEvent(Event::ReplicaLeaving,
+             { { "upstream", aReplica.mInfo.mId }, { "service", aReplica.mInfo.mService } });
+  }
+  if (change.mHeld) {
+    LogEvent(Event::ReplicaHeld,
+             { { "upstream", aReplica.mInfo.mId },
+               { "service", aReplica.mInfo.mService },
+               { "wish_ms", *signals.mRetryAfter / std::chrono::milliseconds(1) },
+               { "held_ms", (aReplica.mHeldUntil - now) / std::chrono::milliseconds(1) } });
+  }
 }
 
 bool
 Relay::State::Enqueue(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex)
 {
   const std::string& service = aRelayed->mSubrequests[aIndex].mService;
-  if (IsLimitedTooLong(*aRelayed, mServices[service])) {
+  if (WouldWaitTooLong(*aRelayed, mServices[service])) {
     return false;
   }
   WaitQueue<WaitingSubrequest>& queue = mServices[service].mWaitQueue;
@@ -819,7 +817,7 @@
   });
   const bool queued =
     queue.Push({ aRelayed, aIndex }, aRelayed->mObjectiveAt, aRelayed->mRoute->mPriority);
-  ScheduleLimitedSend(service);
+  ScheduleQueuedSend(service);
   return queued;
 }
 
@@ -832,11 +830,20 @@
     if (owner == nullptr || owner->mFinished) {
       continue;
     }
-    if (!SendToNextReplica(owner, waiting->mSubrequestIndex)) {
-      queue.Push(std::move(*waiting), owner->mObjectiveAt, owner->mRoute->mPriority);
-      ScheduleLimitedSend(aService);
-      return;
+    if (SendToNextReplica(owner, waiting->mSubrequestIndex)) {
+      continue;
     }
+    const std::vector<ReplicaView*>& replicas = mServices[aService].mReplicas;
+    if (std::none_of(replicas.begin(), replicas.end(), [](const ReplicaView* aReplica) {
+          return IsUsable(*aReplica);
+        })) {
+      owner->mSubrequests[waiting->mSubrequestIndex].mFailed = true;
+      FinishIfDecided(owner);
+      continue;
+    }
+    queue.Push(std::move(*waiting), owner->mObjectiveAt, owner->mRoute->mPriority);
+    ScheduleQueuedSend(aService);
+    return;
   }
 }
 
@@ -890,8 +897,10 @@
   }
   const TimePoint now = SteadyNow();
   const Route& route = *aAttempt.mOwner->mRoute;
-  if (aReply.mEnd == TransferEnd::Complete && aEnd != AttemptEnd::Misplaced) {
-    ApplySignals(*replica->second, aReply);
+  // Unsigned replies are no replica's words, unless they say that the request was not run.
+  if (aReply.mEnd == TransferEnd::Complete && aEnd != AttemptEnd::Misplaced &&
+      aEnd != AttemptEnd::Lost) {
+    HandleSignals(*replica->second, aReply);
   }
   if (const auto idle = KeepAliveTimeout(aReply.Header("keep-alive"))) {
     replica->second->mIdleTimeout = *idle;
@@ -942,7 +951,6 @@
   const std::shared_ptr<RelayedRequest> relayed = attempt.mOwner;
   Subrequest& subrequest = relayed->mSubrequests[attempt.mSubrequestIndex];
   subrequest.mActiveAttempts.erase(aAttemptId);
-  SendQueued(subrequest.mService);
   AttemptEnd end = ClassifyAttempt(aReply, mProtocol.mHeaders);
   const bool reachedReplica =
     aReply.mEnd != TransferEnd::NotConnected && aReply.mEnd != TransferEnd::NotSent;
@@ -955,6 +963,8 @@
   mMetrics.CountAttempt(subrequest.mService, end);
   mMetrics.CountReplicaBytes(aReply.mBytesSent + aReply.mBytesReceived, attempt.mIsLocal);
   RecordAttemptEnd(attempt, end, aReply);
+  // Only now, because the reply may say that the replica wants no more requests.
+  SendQueued(subrequest.mService);
   if (relayed->mFinished || subrequest.mAnswered) {
     return;
   }
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -18,6 +18,12 @@
 RelayMetrics::RelayMetrics(MetricsRegistry& aRegistry)
   : mRegistry(aRegistry)
   , mOpenRequests(aRegistry.AddGauge("apricot_relay_open_requests", "Requests without an answer."))
+  , mLimitedReplicas(aRegistry.AddGauge("apricot_replicas_limited",
+                                        "Replicas that named a limit of requests per second."))
+  , mLeavingReplicas(
+      aRegistry.AddGauge("apricot_replicas_leaving", "Replicas that announced their stop."))
+  , mHeldReplicas(
+      aRegistry.AddGauge("apricot_replicas_held", "Replicas that want no requests for some time."))
   , mLocalBytes(aRegistry.AddCounter("apricot_replica_bytes_total",
                                      "Bytes of finished attempts, sent and received.",
                                      R"(data_centre="own")"))
@@ -119,4 +125,12 @@
   mOpenRequests.Set(static_cast<double>(aRequests));
 }
 
+void
+RelayMetrics::SetReplicaCounts(const ReplicaCounts& aCounts)
+{
+  mLimitedReplicas.Set(static_cast<double>(aCounts.mLimited));
+  mLeavingReplicas.Set(static_cast<double>(aCounts.mLeaving));
+  mHeldReplicas.Set(static_cast<double>(aCounts.mHeld));
+}
+
 } // namespace apricotyard
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -25,6 +25,14 @@
   Abandoned,
 };
 
+// Replicas by what they say about themselves.
+struct ReplicaCounts
+{
+  std::size_t mLimited = 0;
+  std::size_t mLeaving = 0;
+  std::size_t mHeld = 0;
+};
+
 class RelayMetrics
 {
 public:
@@ -42,6 +50,7 @@
   void CountReplicaBytes(std::size_t aBytes, bool aLocal);
   void SetBudgetUsed(const std::string& aService, double aShare);
   void SetOpenRequests(std::size_t aRequests);
+  void SetReplicaCounts(const ReplicaCounts& aCounts);
 
 private:
   static constexpr std::size_t kOutcomeCount = 5;
@@ -66,6 +75,9 @@
 
   MetricsRegistry& mRegistry;
   Gauge& mOpenRequests;
+  Gauge& mLimitedReplicas;
+  Gauge& mLeavingReplicas;
+  Gauge& mHeldReplicas;
   Counter& mLocalBytes;
   Counter& mRemoteBytes;
   std::map<std::string, RouteMetrics> mRoutes;
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(RejectsMalformedDocuments);
   CPPUNIT_TEST(LimitsNumberOfGateways);
   CPPUNIT_TEST(DecodesRequestLimit);
+  CPPUNIT_TEST(DecodesLeavingAndRetryAfter);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -188,6 +189,29 @@
     CPPUNIT_ASSERT_EQUAL(2.5, body["ttl_s"].get<double>());
   }
 
+  void DecodesLeavingAndRetryAfter()
+  {
+    const auto decode = [](int aStatus, const std::string& aName, const std::string& aValue) {
+      ClientReply reply;
+      reply.mStatus = aStatus;
+      reply.mRawHeaders = { { aName, aValue } };
+      return MakePlatformProtocol().mDecodeSignals(reply);
+    };
+    CPPUNIT_ASSERT(decode(200, "Server-Leaving", "1").mLeaving);
+    CPPUNIT_ASSERT(!decode(200, "Server-Leaving", "0").mLeaving);
+    CPPUNIT_ASSERT(!decode(200, "Server-Leaving", "soon").mLeaving);
+    CPPUNIT_ASSERT_EQUAL(std::string("server-leaving"),
+                         decode(200, "Server-Leaving", "soon").mUnreadable);
+    CPPUNIT_ASSERT(decode(503, "Retry-After", "2.5").mRetryAfter == milliseconds(2500));
+    CPPUNIT_ASSERT(decode(503, "Retry-After", "1e30").mRetryAfter > std::chrono::hours(24));
+    CPPUNIT_ASSERT(!decode(429, "Retry-After", "2").mRetryAfter);
+    for (const std::string value : { "-3", "Fri, 31 Dec 1999 23:59:59 GMT" }) {
+      CPPUNIT_ASSERT(!decode(503, "Retry-After", value).mRetryAfter);
+      CPPUNIT_ASSERT_EQUAL(std::string("retry-after"),
+                           decode(503, "Retry-After", value).mUnreadable);
+    }
+  }
+
   void DecodesRequestLimit()
   {
     const auto decode = [](const std::string& aValue) {
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -66,6 +66,10 @@
       if (const auto limit = aReply.Header("x-limit"); !limit.empty()) {
         signals.mRequestLimit = std::stod(std::string(limit));
       }
+      signals.mLeaving = !aReply.Header("x-leaving").empty();
+      if (const auto hold = aReply.Header("x-hold-ms"); !hold.empty()) {
+        signals.mRetryAfter = milliseconds(std::stoi(std::string(hold)));
+      }
       return signals;
     };
     auto server = HttpServer::Builder(mLoop, { kGatewayIp, kGatewayPort })
@@ -105,7 +109,8 @@
   }
 
   // Gives the relay the replicas and a routing table that consists of aRoute with the prefix "/".
-  void Publish(Route aRoute)
+  // Each replica accepts aMaxConnections.
+  void Publish(Route aRoute, std::uint32_t aMaxConnections = 100)
   {
     RoutingDocument document;
     document.mVersion = 1;
@@ -114,7 +119,7 @@
     for (const auto& replica : mReplicas) {
       upstreams.push_back(replica->mInfo);
       if (services.insert(replica->mInfo.mService).second) {
-        document.mServices.push_back({ replica->mInfo.mService, 100 });
+        document.mServices.push_back({ replica->mInfo.mService, aMaxConnections });
       }
     }
     aRoute.mHost = "h";
@@ -239,6 +244,19 @@
   };
 }
 
+// Responds with an additional header.
+RequestHandler
+RespondWithHeader(const HttpHeader& aHeader, int aStatus = 200)
+{
+  return [=](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+    HttpResponse response = SignedResponse(aRequest, aStatus, "", "s1");
+    response.mHeaders.push_back(aHeader);
+    aRespond(std::move(response));
+  };
+}
+
+const HttpHeader kLeavingHeader{ "X-Leaving", "1" };
+
 // Opens a non-blocking listening socket.
 int
 OpenListener(const SocketAddress& aAddress)
@@ -280,6 +298,15 @@
   CPPUNIT_TEST(ReplicaGetsNoMoreRequestsThanItsLimit);
   CPPUNIT_TEST(ReplicaWithoutLimitTakesTheRest);
   CPPUNIT_TEST(HedgesSpareReplicasWithALimit);
+  CPPUNIT_TEST(LeavingReplicaGetsNoFirstSend);
+  CPPUNIT_TEST(LeavingReplicaGetsNoPartOfAGather);
+  CPPUNIT_TEST(LeavingReplicaGetsNoRetryOrHedge);
+  CPPUNIT_TEST(LeavingReplicaGetsNoQueuedRequest);
+  CPPUNIT_TEST(LeavingReplicaGetsNoConnection);
+  CPPUNIT_TEST(RestartedReplicaIsServedAgain);
+  CPPUNIT_TEST(ServiceThatLeavesRefusesAtOnce);
+  CPPUNIT_TEST(ReplicaThatWantsNoRequestsGetsNone);
+  CPPUNIT_TEST(UnsignedReplyAnnouncesNothing);
   CPPUNIT_TEST(ReplyThatEndsInsideItsHeadIsNoAnswer);
   CPPUNIT_TEST(AbortedRequestsAreAnsweredBeforeTheProcessEnds);
   CPPUNIT_TEST(StoppingRelayRefusesWhatItCannotFinish);
@@ -696,6 +723,163 @@
     CPPUNIT_ASSERT(limited.mReceived.empty());
   }
 
+  void LeavingReplicaGetsNoFirstSend()
+  {
+    RelayFixture fixture;
+    const FakeReplica& leaving = fixture.AddReplica("s", RespondWithHeader(kLeavingHeader));
+    fixture.Publish(SingleServiceRoute(false));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    const FakeReplica& other = fixture.AddReplica("s", RespondWith(200, "", "s2"));
+    fixture.Publish(SingleServiceRoute(false));
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), leaving.mReceived.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(20), other.mReceived.size());
+  }
+
+  void LeavingReplicaGetsNoPartOfAGather()
+  {
+    RelayFixture fixture;
+    const FakeReplica& leaving = fixture.AddReplica("s0", RespondWithHeader(kLeavingHeader));
+    fixture.AddReplica("s1", RespondWith(200, "", "s2"));
+    fixture.Publish(GatherRoute(2, 0.5));
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), std::string(fixture.Get("/").Header("x-missing")));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(fixture.Get("/").Header("x-missing")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), leaving.mReceived.size());
+  }
+
+  // The silent replica holds the request when the other one announces its stop in another reply.
+  void LeavingReplicaGetsNoRetryOrHedge()
+  {
+    RelayFixture fixture;
+    std::vector<HttpResponder> pending;
+    const FakeReplica& leaving = fixture.AddReplica("s", RespondWithHeader(kLeavingHeader));
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    const FakeReplica& silent = fixture.AddReplica("s", NeverRespond(pending));
+    fixture.AddReplica("t", RejectUnexecuted());
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(504, fixture.Get("/").mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), silent.mReceived.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), leaving.mReceived.size());
+  }
+
+  // Requests wait for the connections of the only replica, which then announces its stop.
+  void LeavingReplicaGetsNoQueuedRequest()
+  {
+    std::vector<HttpResponder> pending;
+    std::vector<HttpRequest> requests;
+    RelayFixture fixture;
+    const FakeReplica& replica =
+      fixture.AddReplica("s", [&](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+        requests.push_back(aRequest);
+        pending.push_back(aRespond);
+      });
+    fixture.Publish(SingleServiceRoute(false), 2);
+    fixture.EventLoop().AddTimer(SteadyNow() + milliseconds(100), [&] {
+      HttpResponse response = SignedResponse(requests.front(), 200, "", "s1");
+      response.mHeaders.push_back(kLeavingHeader);
+      pending.front()(std::move(response));
+    });
+    HttpClient client(fixture.EventLoop(), kGatewayIp, 10);
+    std::vector<int> statuses;
+    for (int i = 0; i < 3; ++i) {
+      ClientRequest request;
+      request.mMethod = "GET";
+      request.mPath = "/";
+      request.mForwarded = true;
+      request.mAddress = { kGatewayIp, kGatewayPort };
+      request.mHeaders = { { "Host", "h" }, { "X-Id", "id-1" } };
+      client.Send(request, [&](const ClientReply& aReply) {
+        statuses.push_back(aReply.mStatus);
+        if (statuses.size() == 3) {
+          fixture.EventLoop().Stop();
+        }
+      });
+    }
+    fixture.EventLoop().AddTimer(SteadyNow() + seconds(3),
+                                 [&fixture] { fixture.EventLoop().Stop(); });
+    fixture.EventLoop().Run();
+    std::sort(statuses.begin(), statuses.end());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), replica.mReceived.size());
+    CPPUNIT_ASSERT((statuses == std::vector<int>{ 200, 503, 503 }));
+  }
+
+  void LeavingReplicaGetsNoConnection()
+  {
+    RelayFixture fixture;
+    FakeReplica& leaving = fixture.AddReplica("s", RespondWithHeader(kLeavingHeader));
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    leaving.mServer.reset();
+    const int listener = OpenListener(leaving.mInfo.mAddress);
+    fixture.EventLoop().AddTimer(SteadyNow() + milliseconds(1500),
+                                 [&fixture] { fixture.EventLoop().Stop(); });
+    fixture.EventLoop().Run();
+    CPPUNIT_ASSERT(accept4(listener, nullptr, nullptr, SOCK_NONBLOCK) < 0);
+    close(listener);
+  }
+
+  void RestartedReplicaIsServedAgain()
+  {
+    RelayFixture fixture;
+    FakeReplica& replica = fixture.AddReplica("s", RespondWithHeader(kLeavingHeader));
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+    ++replica.mInfo.mIncarnation;
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+  }
+
+  void ServiceThatLeavesRefusesAtOnce()
+  {
+    RelayFixture fixture;
+    fixture.AddReplica("s", RespondWithHeader(kLeavingHeader));
+    fixture.Publish(SingleServiceRoute(false));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    const TimePoint sentAt = SteadyNow();
+    const ClientReply refused = fixture.Get("/");
+    CPPUNIT_ASSERT_EQUAL(503, refused.mStatus);
+    CPPUNIT_ASSERT(!refused.Header("retry-after").empty());
+    CPPUNIT_ASSERT(SteadyNow() - sentAt < milliseconds(60));
+  }
+
+  void ReplicaThatWantsNoRequestsGetsNone()
+  {
+    RelayFixture fixture;
+    FakeReplica& busy =
+      fixture.AddReplica("s", [](const HttpRequest&, const HttpResponder& aRespond) {
+        aRespond({ 503, "", "text/plain", { { "X-Not-Run", "1" }, { "X-Hold-Ms", "600" } } });
+      });
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+    const TimePoint heldAt = SteadyNow();
+    while (SteadyNow() < heldAt + milliseconds(500)) {
+      CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), busy.mReceived.size());
+    busy.mHandler = RespondWith(200, "", "s1");
+    fixture.EventLoop().AddTimer(heldAt + milliseconds(800),
+                                 [&fixture] { fixture.EventLoop().Stop(); });
+    fixture.EventLoop().Run();
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+  }
+
+  void UnsignedReplyAnnouncesNothing()
+  {
+    RelayFixture fixture;
+    FakeReplica& replica =
+      fixture.AddReplica("s", [](const HttpRequest&, const HttpResponder& aRespond) {
+        aRespond({ 200, "", "text/plain", { kLeavingHeader } });
+      });
+    fixture.Publish(SingleServiceRoute(false));
+    CPPUNIT_ASSERT_EQUAL(502, fixture.Get("/").mStatus);
+    replica.mHandler = RespondWith(200, "", "s1");
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+  }
+
   void ReplyThatEndsInsideItsHeadIsNoAnswer()
   {
     const std::string head =
