Satisfy the linter in the membership plan and the relay's header

clang-tidy refused two results that could not be moved, clang-format the wrapping of one comment. No behaviour changes. scripts/lint.sh: clean.

--- a/src/group_plan.cpp
+++ b/src/group_plan.cpp
@@ -175,10 +175,10 @@
 std::optional<MembershipChange>
 PlanMembershipChange(const MembershipView& aView, TimePoint aNow)
 {
-  if (const auto removal = RemoveLostIdentity(aView)) {
+  if (auto removal = RemoveLostIdentity(aView)) {
     return removal;
   }
-  if (const auto addition = AddJoiningHost(aView)) {
+  if (auto addition = AddJoiningHost(aView)) {
     return addition;
   }
   const MemberGroups groups = GroupMembers(aView, aNow);
--- a/src/relay.h
+++ b/src/relay.h
@@ -46,8 +46,9 @@
   // that still arrive, but opens no connections ahead of them and makes no use of the fixed part of
   // the extra sends, which the active ones share.
   void SetActive(bool aActive);
-  // From now on, every response carries "Connection: close". Requests are still served, and get their
-  // final answer by aFinishBy. One that arrives so late that its objective ends after it is refused.
+  // From now on, every response carries "Connection: close". Requests are still served, and get
+  // their final answer by aFinishBy. One that arrives so late that its objective ends after it is
+  // refused.
   void BeginStop(TimePoint aFinishBy);
 
   // Handles one request and responds once, possibly before returning. There is no response if the
