Stop requests that crash replicas, at all gateways

What the users saw: a request under which three replicas had ended was sent to replicas again and again, and each ended.

Cause: the relay kept nothing about a request beyond its own attempts, and gateways had no way to tell each other. A caller that repeats such a request found two fresh replicas of every shard with each attempt.

Ruled out: a quarantine at each gateway alone, because six to nine gateways would let their number of crashes through each; strikes for every lost connection, because resets, cuts and broken replies lose connections as well.

Change: the relay uses the existing quarantine with a fingerprint for each service and content. After a connection ends without a whole reply, another connection to the address tells whether anything still listens. Strikes go to all gateways through the coordinators. A stopped request is refused at once, with the time until the verdict ends.

Evidence: RelayTest::RequestThatCrashesReplicasIsStopped and GatherThatCrashesReplicasIsStopped failed before the change (more than three crashes of a service in six attempts of a caller) and hold now.

Conclusion: the rule holds in our tests.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -14,6 +14,7 @@
 #include "loop_calls.h"
 #include "metrics_page.h"
 #include "raft_node.h"
+#include "strike_log.h"
 
 #include <algorithm>
 #include <set>
@@ -129,6 +130,8 @@
   void FillDocument(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const;
   Expected<void> ListenForMetrics();
   void FillHosts(rpc::FleetSyncReply& aReply, TimePoint aNow) const;
+  // Takes the crashes that a gateway reports and adds those that it lacks to the reply.
+  void ExchangeCrashes(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply);
   std::vector<GatewayCandidate> ListCandidates(TimePoint aNow) const;
   void UpdateSubset();
   void RestoreUpstreams();
@@ -156,6 +159,8 @@
   FleetRegistry mRegistry;
   DocumentState mState;
   GatewaySubset mSubset;
+  // Crashes that gateways reported.
+  StrikeLog mStrikes;
   ActiveCounts mActiveCounts;
   // What other coordinators said last, by IP address, and when.
   std::map<std::string, std::pair<ActiveCounts, TimePoint>> mRemoteActiveCounts;
@@ -571,6 +576,7 @@
   reply.set_cursor(changes.mCursor);
   reply.set_more_records(changes.mMore);
   FillHosts(reply, now);
+  ExchangeCrashes(aRequest, reply);
   reply.set_active_gateways(static_cast<std::uint32_t>(mActiveGateways));
   reply.set_active(IsActive(mSubset, aRequest.self().ip()));
   if (aRequest.self().coordinator()) {
@@ -622,6 +628,34 @@
   }
 }
 
+void
+Coordinator::ExchangeCrashes(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply)
+{
+  if (aRequest.self().coordinator()) {
+    return;
+  }
+  for (const rpc::UpstreamCrash& message : aRequest.crashes()) {
+    const auto strike = FromMessage(message);
+    if (!strike) {
+      LogEvent(Event::AnnouncementRejected, { { "reason", strike.error().mMessage } });
+    } else if (Append(mStrikes, *strike, SteadyNow())) {
+      LogEvent(Event::UpstreamCrashed,
+               { { "upstream", strike->mUpstream },
+                 { "fingerprint", fmt::format("{:016x}", strike->mFingerprint) },
+                 { "host", strike->mHost } });
+    }
+  }
+  const bool sameIncarnation = aRequest.cursor_incarnation() == mSelf.mIncarnation;
+  std::uint64_t cursor = sameIncarnation ? aRequest.crash_cursor() : 0;
+  for (const LoggedStrike* const logged : StrikesAfter(mStrikes, cursor)) {
+    cursor = logged->mNumber;
+    if (logged->mStrike.mHost != aRequest.self().ip()) {
+      ToMessage(logged->mStrike, *aReply.add_crashes());
+    }
+  }
+  aReply.set_crash_cursor(cursor);
+}
+
 void
 Coordinator::FillHosts(rpc::FleetSyncReply& aReply, TimePoint aNow) const
 {
--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -71,6 +71,7 @@
   absl::Mutex mMutex;
   rpc::FleetHost mSelf;
   DocumentIdentity mDocument;
+  std::vector<rpc::UpstreamCrash> mCrashes;
   // The link that fetches the document, and until when the other links do not fetch it themselves.
   std::string mFetchingLink;
   absl::Time mFetchReservedUntil = absl::InfinitePast();
@@ -189,6 +190,8 @@
     request.set_own_records_only(!WantsAllRecords());
     request.set_cursor(request.own_records_only() ? mOwnCursor : mAllCursor);
     request.set_cursor_incarnation(mCursorIncarnation);
+    request.mutable_crashes()->Assign(mShared.mCrashes.begin(), mShared.mCrashes.end());
+    request.set_crash_cursor(mCrashCursor);
     request.set_wants_document(ReserveFetch());
     mAnnouncedPause = RegularPause(Status(), Pauses());
     request.mutable_self()->set_pause_ms(
@@ -250,6 +253,7 @@
     }
     const bool more = reply.more_records();
     const std::uint64_t cursor = reply.cursor();
+    const std::uint64_t crashCursor = reply.crash_cursor();
     const std::uint64_t incarnation = reply.self().incarnation();
     // If the loop does not accept the reply, the cursor stays, and the next call requests the same
     // changes again.
@@ -258,6 +262,7 @@
         mAllCursor = 0;
       }
       mOwnCursor = cursor;
+      mCrashCursor = crashCursor;
       mAllCursor = request.own_records_only() ? mAllCursor : cursor;
       mCursorIncarnation = incarnation;
     }
@@ -462,9 +467,10 @@
   const DeliverFunction mDeliver;
   std::unique_ptr<rpc::Fleet::Stub> mStub;
   // The cursors of the last reply that the loop accepted and of the last one with the records of
-  // all coordinators, and the incarnation of the coordinator that sent it.
+  // all coordinators, its cursor of crashes, and the incarnation of the coordinator that sent it.
   std::uint64_t mOwnCursor = 0;
   std::uint64_t mAllCursor = 0;
+  std::uint64_t mCrashCursor = 0;
   std::uint64_t mCursorIncarnation = 0;
   // The pause that the last request announced.
   Duration mAnnouncedPause{};
@@ -594,6 +600,16 @@
   mState->mShared.mDocument = aDocument;
 }
 
+void
+FleetClient::SetCrashes(const std::vector<Strike>& aCrashes)
+{
+  absl::MutexLock lock(&mState->mShared.mMutex);
+  mState->mShared.mCrashes.clear();
+  for (const Strike& crash : aCrashes) {
+    ToMessage(crash, mState->mShared.mCrashes.emplace_back());
+  }
+}
+
 void
 FleetClient::SetPauses(Duration aPrimary, Duration aSecondary)
 {
--- a/src/fleet_client.h
+++ b/src/fleet_client.h
@@ -7,6 +7,7 @@
 #include "fleet.pb.h"
 #include "fleet_registry.h"
 #include "loop.h"
+#include "quarantine.h"
 #include "routing.h"
 #include "rpc_credentials.h"
 
@@ -61,6 +62,8 @@
   void SetLoad(double aLoad);
   // Sets the document that this host holds.
   void SetDocument(const DocumentIdentity& aDocument);
+  // Sets the crashes of upstreams that the next calls report.
+  void SetCrashes(const std::vector<Strike>& aCrashes);
   // Sets the pauses between two calls to the primary, FleetClientSettings::mPause by default, and
   // to another coordinator, which is never shorter.
   void SetPauses(Duration aPrimary, Duration aSecondary);
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -44,6 +44,31 @@
   return host;
 }
 
+void
+ToMessage(const Strike& aStrike, rpc::UpstreamCrash& aOut)
+{
+  aOut.set_fingerprint(aStrike.mFingerprint);
+  aOut.set_host(aStrike.mHost);
+  aOut.set_upstream(aStrike.mUpstream);
+  aOut.set_incarnation(aStrike.mIncarnation);
+  aOut.set_alone(aStrike.mAlone);
+}
+
+Expected<Strike>
+FromMessage(const rpc::UpstreamCrash& aMessage)
+{
+  constexpr std::size_t kMaxNameLength = 256;
+  if (aMessage.host().empty() || aMessage.upstream().empty() ||
+      aMessage.host().size() > kMaxNameLength || aMessage.upstream().size() > kMaxNameLength) {
+    return Fail(Result::BadRequest, "the crash lacks a host or an upstream, or a name is too long");
+  }
+  return Strike{ aMessage.fingerprint(),
+                 aMessage.host(),
+                 aMessage.upstream(),
+                 aMessage.incarnation(),
+                 aMessage.alone() };
+}
+
 DocumentIdentity
 DocumentOf(const rpc::FleetSyncRequest& aRequest)
 {
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -5,6 +5,7 @@
 #include "document_choice.h"
 #include "fleet.pb.h"
 #include "fleet_registry.h"
+#include "quarantine.h"
 
 namespace apricotyard {
 
@@ -14,6 +15,12 @@
 Expected<FleetHost>
 FromMessage(const rpc::FleetHost& aMessage);
 
+void
+ToMessage(const Strike& aStrike, rpc::UpstreamCrash& aOut);
+// Fails with BadRequest if the host or the upstream is missing or too long.
+Expected<Strike>
+FromMessage(const rpc::UpstreamCrash& aMessage);
+
 // The document that the sender holds.
 DocumentIdentity
 DocumentOf(const rpc::FleetSyncRequest& aRequest);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -9,6 +9,7 @@
 #include "log.h"
 #include "metrics_page.h"
 #include "relay.h"
+#include "strike_log.h"
 
 #include <algorithm>
 
@@ -50,6 +51,8 @@
 // A coordinator that has not answered for this time no longer says which gateways are active. It is
 // longer than callers keep a list of gateways.
 constexpr Duration kSubsetReportLifetime = std::chrono::seconds(15);
+// Interval at which old crashes are dropped from the reports.
+constexpr Duration kCrashReportInterval = std::chrono::seconds(5);
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 
 class Gateway
@@ -91,6 +94,9 @@
   void OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void ApplySubset(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void ReportLoad();
+  // Learns of crashes that other gateways saw.
+  void ApplyCrashes(const rpc::FleetSyncReply& aReply);
+  void ReportCrashes();
   void ConsiderDocument(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void AdoptDocument();
   void ExpireUpstreams();
@@ -133,6 +139,8 @@
   };
   // By the coordinator's IP address.
   std::map<std::string, SubsetReport> mSubsetReports;
+  // Crashes that this gateway or others saw.
+  StrikeLog mStrikes;
   // The largest of the numbers that coordinators reported.
   std::uint32_t mGatewayCount = 0;
   std::uint32_t mActiveGatewayCount = 0;
@@ -197,6 +205,11 @@
   AddSeeds(mSettings.mSeeds);
   mLoop.AddPeriodic(kExpireInterval, [this] { ExpireUpstreams(); });
   mLoop.AddPeriodic(kLoadInterval, [this] { ReportLoad(); });
+  mLoop.AddPeriodic(kCrashReportInterval, [this] { ReportCrashes(); });
+  mRelay.SetStrikeHandler([this](const Strike& aStrike) {
+    Append(mStrikes, aStrike, SteadyNow());
+    ReportCrashes();
+  });
   return {};
 }
 
@@ -308,6 +321,7 @@
         mDirectory, host.ip(), host.incarnation(), now - std::chrono::milliseconds(host.idle_ms()));
     }
   }
+  ApplyCrashes(aReply);
   ApplySubset(aIp, aReply);
   if (changed) {
     PublishUpstreams();
@@ -370,6 +384,28 @@
   }
 }
 
+void
+Gateway::ApplyCrashes(const rpc::FleetSyncReply& aReply)
+{
+  for (const rpc::UpstreamCrash& message : aReply.crashes()) {
+    const auto strike = FromMessage(message);
+    if (!strike) {
+      LogEvent(Event::AnnouncementRejected, { { "reason", strike.error().mMessage } });
+      continue;
+    }
+    // Coordinators send the same crash once each. This gateway may have cleared the request since.
+    if (Append(mStrikes, *strike, SteadyNow())) {
+      mRelay.AddStrike(*strike);
+    }
+  }
+}
+
+void
+Gateway::ReportCrashes()
+{
+  mClient->SetCrashes(StrikesToReport(mStrikes, mSelf.mIp, SteadyNow()));
+}
+
 void
 Gateway::ReportLoad()
 {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -72,6 +72,8 @@
   TransferId mTransfer = 0;
   TimerId mConnectTimer = 0;
   bool mReused = false;
+  // Called if the server's host refuses the connection. May be empty.
+  std::function<void()> mOnRefused;
   std::optional<ReplyParser> mParser;
   // The parser's part of State::mBufferedBytes.
   std::size_t mBufferedBytes = 0;
@@ -165,7 +167,10 @@
   void SetBufferedBytes(Connection& aConnection, std::size_t aBytes);
   // Whether all replies together are too large and this one takes more than its share of them.
   bool ExceedsBufferShare(const Connection& aConnection) const;
-  void OnReplyEnd(const ConnectionPtr& aConnection, ParseStep aStep, std::string aMessage);
+  void OnReplyEnd(const ConnectionPtr& aConnection,
+                  ParseStep aStep,
+                  std::string aMessage,
+                  bool aConnectionEnded = false);
   void MakeIdle(const ConnectionPtr& aConnection);
   void RemoveFromIdle(const ConnectionPtr& aConnection);
   void Close(const ConnectionPtr& aConnection);
@@ -174,9 +179,10 @@
   // Releases the transfer's connection, or removes the transfer from its server's wait queue.
   void Detach(TransferId aId, Transfer& aTransfer);
   void OnTimeout(TransferId aId);
-  void Finish(TransferId aId, TransferEnd aEnd, std::string aMessage);
+  // aError is the error number of a failed system call, or 0.
+  void Finish(TransferId aId, TransferEnd aEnd, std::string aMessage, int aError = 0);
   // Calls Finish from a later iteration of the loop, so that a handler never runs inside Send.
-  void DeferFinish(TransferId aId, TransferEnd aEnd, std::string aMessage);
+  void DeferFinish(TransferId aId, TransferEnd aEnd, int aError);
   Server& FindOrAddServer(const SocketAddress& aAddress);
 
   Loop& mLoop;
@@ -238,7 +244,7 @@
   aTransfer.mConnection =
     Open(server, std::min<Duration>(request.mTimeout / kConnectTimeoutDivisor, kMaxConnectTime));
   if (aTransfer.mConnection == nullptr) {
-    DeferFinish(aId, TransferEnd::NotConnected, std::strerror(errno));
+    DeferFinish(aId, TransferEnd::NotConnected, errno);
     return;
   }
   aTransfer.mConnection->mTransfer = aId;
@@ -337,7 +343,10 @@
   const TransferId id = aConnection->mTransfer;
   if (error != 0) {
     Close(aConnection);
-    Finish(id, TransferEnd::NotConnected, std::strerror(error));
+    if (error == ECONNREFUSED && aConnection->mOnRefused) {
+      aConnection->mOnRefused();
+    }
+    Finish(id, TransferEnd::NotConnected, std::strerror(error), error);
     return;
   }
   mLoop.ModifyFd(aConnection->mFd, EPOLLIN | EPOLLRDHUP);
@@ -382,7 +391,7 @@
       // If part of the request was sent, the server may have replied before it closed the
       // connection. Read still collects that reply.
       if (connection.mWritten == 0) {
-        DeferFinish(connection.mTransfer, TransferEnd::NotSent, std::strerror(errno));
+        DeferFinish(connection.mTransfer, TransferEnd::NotSent, errno);
       }
       break;
     }
@@ -406,11 +415,12 @@
       return;
     }
     if (count < 0) {
-      OnReplyEnd(aConnection, ParseStep::Malformed, std::strerror(errno));
+      OnReplyEnd(aConnection, ParseStep::Malformed, std::strerror(errno), true);
       return;
     }
     if (count == 0) {
-      OnReplyEnd(aConnection, aConnection->mParser->End(), "the server closed the connection");
+      OnReplyEnd(
+        aConnection, aConnection->mParser->End(), "the server closed the connection", true);
       return;
     }
     const auto bytes = static_cast<std::size_t>(count);
@@ -448,7 +458,8 @@
 void
 HttpClient::State::OnReplyEnd(const ConnectionPtr& aConnection,
                               ParseStep aStep,
-                              std::string aMessage)
+                              std::string aMessage,
+                              bool aConnectionEnded)
 {
   const TransferId id = aConnection->mTransfer;
   const auto node = mTransfers.extract(id);
@@ -465,6 +476,7 @@
   reply.mBytesReceived = aConnection->mReceived;
   const bool complete = aStep == ParseStep::Complete;
   if (!complete) {
+    reply.mConnectionEnded = aConnectionEnded;
     reply.mMessage = std::move(aMessage);
   }
   const bool sent = aConnection->mWritten == aConnection->mOutput.size();
@@ -571,7 +583,7 @@
 }
 
 void
-HttpClient::State::Finish(TransferId aId, TransferEnd aEnd, std::string aMessage)
+HttpClient::State::Finish(TransferId aId, TransferEnd aEnd, std::string aMessage, int aError)
 {
   const auto node = mTransfers.extract(aId);
   if (node.empty()) {
@@ -580,6 +592,7 @@
   Transfer& transfer = *node.mapped();
   ClientReply reply;
   reply.mEnd = aEnd;
+  reply.mRefused = aEnd == TransferEnd::NotConnected && aError == ECONNREFUSED;
   if (transfer.mConnection != nullptr) {
     reply.mReusedConnection = transfer.mConnection->mReused;
     reply.mBytesSent = transfer.mConnection->mWritten;
@@ -591,7 +604,7 @@
 }
 
 void
-HttpClient::State::DeferFinish(TransferId aId, TransferEnd aEnd, std::string aMessage)
+HttpClient::State::DeferFinish(TransferId aId, TransferEnd aEnd, int aError)
 {
   const auto transfer = mTransfers.find(aId);
   if (transfer == mTransfers.end()) {
@@ -599,7 +612,7 @@
   }
   mLoop.CancelTimer(transfer->second->mTimer);
   transfer->second->mTimer = mLoop.AddTimer(
-    SteadyNow(), [this, aId, aEnd, message = std::move(aMessage)] { Finish(aId, aEnd, message); });
+    SteadyNow(), [this, aId, aEnd, aError] { Finish(aId, aEnd, std::strerror(aError), aError); });
 }
 
 std::string_view
@@ -656,6 +669,18 @@
   }
 }
 
+void
+HttpClient::CheckListening(const SocketAddress& aAddress, std::function<void()> aOnRefused)
+{
+  Server& server = mState->FindOrAddServer(aAddress);
+  if (const ConnectionPtr connection = mState->Open(server, kMaxConnectTime)) {
+    connection->mOnRefused = std::move(aOnRefused);
+    server.mUnassigned.push_back(connection);
+  } else if (errno == ECONNREFUSED) {
+    mState->mLoop.AddTimer(SteadyNow(), std::move(aOnRefused));
+  }
+}
+
 void
 HttpClient::SetMaxIdleConnections(std::size_t aCount)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -59,6 +59,10 @@
   // All headers in the order and spelling in which they were received.
   std::vector<HttpHeader> mRawHeaders;
   bool mReusedConnection = false;
+  // NotConnected: the server's host answered that nothing listens at the address.
+  bool mRefused = false;
+  // Lost: the connection ended before the reply was complete, as it does when the server crashes.
+  bool mConnectionEnded = false;
   // Bytes of the request that were sent and of the reply that were received, heads included.
   std::size_t mBytesSent = 0;
   std::size_t mBytesReceived = 0;
@@ -90,6 +94,10 @@
   // Opens a connection before the first request needs it, unless the server already has one.
   // Failures are ignored, because the request will report them.
   void Preconnect(const SocketAddress& aAddress);
+  // Opens another connection and calls aOnRefused if the server's host answers that nothing listens
+  // at the address. Tells a crash of the server from the loss of a connection. A connection that is
+  // established is kept for later requests.
+  void CheckListening(const SocketAddress& aAddress, std::function<void()> aOnRefused);
   // Limits the number of idle connections over all servers to aCount, at most 2048. Connections
   // beyond the limit are closed, the longest idle first.
   void SetMaxIdleConnections(std::size_t aCount);
--- a/src/placement.h
+++ b/src/placement.h
@@ -47,6 +47,8 @@
   // It wants no request until this time, at its own wish. mHoldCut is true if it wished for longer.
   TimePoint mHeldUntil = TimePoint::min();
   bool mHoldCut = false;
+  // A request that may crash it is in flight there and must be the only one.
+  bool mIsolated = false;
   // When an unreadable header of its replies was logged last.
   TimePoint mUnreadableLoggedAt = TimePoint::min();
 };
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -12,9 +12,11 @@
 constexpr std::size_t kStrikesToStop = 2;
 
 bool
-IsStopped(const Suspect& aSuspect)
+IsStopped(const Quarantine& aQuarantine, const Suspect& aSuspect)
 {
-  return aSuspect.mProven && aSuspect.mCrashes.size() >= kStrikesToStop;
+  const std::size_t strikes = aSuspect.mCrashes.size();
+  return (aSuspect.mProven && strikes >= kStrikesToStop) ||
+         (aQuarantine.mUnprovenStrikesToStop != 0 && strikes >= aQuarantine.mUnprovenStrikesToStop);
 }
 
 void
@@ -65,7 +67,7 @@
     return Permission::Unrestricted;
   }
   const Suspect& suspect = found->second;
-  if (IsStopped(suspect)) {
+  if (IsStopped(aQuarantine, suspect)) {
     return Permission::Stopped;
   }
   if (suspect.mCrashes.empty() && suspect.mLossUntil <= aNow) {
@@ -82,6 +84,20 @@
   return Permission::Alone;
 }
 
+bool
+IsSuspect(const Quarantine& aQuarantine, Fingerprint aFingerprint)
+{
+  const auto found = aQuarantine.mSuspects.find(aFingerprint);
+  return found != aQuarantine.mSuspects.end() && !found->second.mCrashes.empty();
+}
+
+TimePoint
+SuspectUntil(const Quarantine& aQuarantine, Fingerprint aFingerprint, TimePoint aNow)
+{
+  const auto found = aQuarantine.mSuspects.find(aFingerprint);
+  return found != aQuarantine.mSuspects.end() ? std::max(found->second.mExpires, aNow) : aNow;
+}
+
 void
 AddConnectionLoss(Quarantine& aQuarantine,
                   const std::string& aUpstream,
@@ -166,6 +182,15 @@
   });
 }
 
+void
+ClearSuspicion(Quarantine& aQuarantine, Fingerprint aFingerprint)
+{
+  const auto found = aQuarantine.mSuspects.find(aFingerprint);
+  if (found != aQuarantine.mSuspects.end() && !found->second.mProven) {
+    found->second.mCrashes.clear();
+  }
+}
+
 void
 ExpireQuarantine(Quarantine& aQuarantine, TimePoint aNow)
 {
@@ -180,7 +205,8 @@
   std::vector<QuarantineEntry> entries;
   for (const auto& [expires, fingerprint] : aQuarantine.mExpiry) {
     const Suspect& suspect = aQuarantine.mSuspects.at(fingerprint);
-    entries.push_back({ fingerprint, suspect.mCrashes.size(), IsStopped(suspect), expires });
+    entries.push_back(
+      { fingerprint, suspect.mCrashes.size(), IsStopped(aQuarantine, suspect), expires });
   }
   return entries;
 }
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -68,6 +68,9 @@
 
 struct Quarantine
 {
+  // Strikes at which a fingerprint is stopped although no crash happened in isolation; 0 for none.
+  // For hosts that do not always find an upstream for an isolated attempt.
+  std::size_t mUnprovenStrikesToStop = 0;
   // By upstream. Losses older than the crash window are dropped when a new one is added.
   absl::flat_hash_map<std::string, std::vector<ConnectionLoss>> mLosses;
   absl::flat_hash_map<Fingerprint, Suspect> mSuspects;
@@ -95,6 +98,14 @@
        std::string_view aHost,
        TimePoint aNow);
 
+// Whether crashes are attributed to the fingerprint.
+bool
+IsSuspect(const Quarantine& aQuarantine, Fingerprint aFingerprint);
+
+// When a suspect or stopped fingerprint is forgotten, or aNow if it is not known.
+TimePoint
+SuspectUntil(const Quarantine& aQuarantine, Fingerprint aFingerprint, TimePoint aNow);
+
 // Records that a connection was lost after a request was sent on it. The fingerprint is treated as
 // a suspect until the crash window ends. If it ran in isolation, it is not sent again until then.
 void
@@ -129,6 +140,10 @@
                Fingerprint aFingerprint,
                std::span<const std::string> aUpstreams);
 
+// The same for crashes of any upstream, for fingerprints that include the service.
+void
+ClearSuspicion(Quarantine& aQuarantine, Fingerprint aFingerprint);
+
 // Removes expired entries.
 void
 ExpireQuarantine(Quarantine& aQuarantine, TimePoint aNow);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -53,6 +53,11 @@
 constexpr std::chrono::seconds kIdleCloseMargin{ 1 };
 // An unreadable header of a replica is logged again after this time.
 constexpr Duration kUnreadableLogInterval = std::chrono::seconds(30);
+// After a lost connection, the address of the replica is checked at most once in this time.
+constexpr Duration kCrashCheckTime = std::chrono::milliseconds(200);
+// Crashes of one service's replicas after which a request is stopped even if none of them happened
+// while it was the only request there: a busy gateway finds no replica for it alone.
+constexpr std::size_t kUnprovenStrikesToStop = 3;
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 
@@ -87,6 +92,8 @@
   std::shared_ptr<const RoutingTable> mRoutingTable;
   const Route* mRoute = nullptr;
   std::string mId;
+  // Hash of the content. Computed when it is first needed; see FingerprintOf.
+  mutable std::optional<Fingerprint> mContent;
   TimePoint mArrivedAt;
   TimePoint mObjectiveAt;
   TimePoint mDeadline;
@@ -107,6 +114,8 @@
   TimePoint mSentAt;
   bool mIsFirstSend = true;
   bool mIsLocal = true;
+  // The request is suspected of crashing replicas, and is the only one at this replica.
+  bool mIsolated = false;
   TimerId mGraceTimer = 0;
 };
 
@@ -151,6 +160,20 @@
   return missing;
 }
 
+// Identifies the content of a sub-request. Callers that repeat a request may differ in address,
+// request ID and other headers.
+Fingerprint
+FingerprintOf(const RelayedRequest& aRelayed, const Subrequest& aSubrequest)
+{
+  if (!aRelayed.mContent) {
+    const HttpRequest& request = aRelayed.mRequest;
+    const std::string head =
+      fmt::format("{} {} {}", request.mMethod, request.Header("host"), request.mTarget);
+    aRelayed.mContent = MakeFingerprint(head, request.mBody);
+  }
+  return MakeFingerprint(aSubrequest.mService, fmt::format("{:x}", *aRelayed.mContent));
+}
+
 RelayOutcome
 ClassifyOutcome(int aStatus, bool aIncomplete)
 {
@@ -189,6 +212,7 @@
   {
     mLimits.mDataCentre = mSettings.mDataCentre;
     mLimits.mHost = mSettings.mSourceIp;
+    mQuarantine.mUnprovenStrikesToStop = kUnprovenStrikesToStop;
   }
 
   void StartRequest(const std::shared_ptr<RelayedRequest>& aRelayed);
@@ -236,6 +260,16 @@
   void OnSubrequestAnswered(const std::shared_ptr<RelayedRequest>& aRelayed,
                             Subrequest& aSubrequest,
                             ClientReply aReply);
+  // Whether the sub-request may not be sent because equal ones crashed replicas of its service.
+  bool IsStopped(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const;
+  bool IsAnyStopped(const RelayedRequest& aRelayed) const;
+  // Whether the sub-request must be alone at its replica, so that a crash tells whether it is the
+  // cause.
+  bool NeedsIsolation(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const;
+  void HandlePossibleCrash(const Attempt& aAttempt,
+                           const ReplicaView& aReplica,
+                           const ClientReply& aReply);
+  void ConfirmCrash(const std::string& aUpstream);
   void RecordAttemptEnd(const Attempt& aAttempt, AttemptEnd aEnd, const ClientReply& aReply);
   void ReleaseAttempt(Attempt& aAttempt);
   void CancelAttempt(AttemptId aAttemptId);
@@ -247,6 +281,7 @@
   HttpResponse MakeMergedResponse(const RelayedRequest& aRelayed) const;
   HttpResponse MakeFailureResponse(const RelayedRequest& aRelayed);
   HttpResponse MakeRefusal(Result aResult, std::string_view aMessage);
+  HttpResponse MakeStoppedRefusal(const RelayedRequest& aRelayed);
   void Finish(const std::shared_ptr<RelayedRequest>& aRelayed, HttpResponse aResponse);
   void ReportAnswer(const RelayedRequest& aRelayed, const HttpResponse& aResponse);
 
@@ -287,6 +322,11 @@
   // Limit on idle connections to all replicas together.
   std::size_t mMaxIdleConnections = 0;
   bool mActive = true;
+  // Requests that crash replicas, by the hash of service and content.
+  Quarantine mQuarantine;
+  // Replicas whose address is being checked for a listener.
+  std::set<std::string> mCrashChecks;
+  std::function<void(const Strike&)> mOnStrike;
   bool mStopping = false;
   // While stopping, when requests must have their final answer.
   TimePoint mFinishBy = TimePoint::max();
@@ -346,6 +386,25 @@
   }
 }
 
+void
+Relay::SetStrikeHandler(std::function<void(const Strike&)> aHandler)
+{
+  mState->mOnStrike = std::move(aHandler);
+}
+
+void
+Relay::AddStrike(const Strike& aStrike)
+{
+  Quarantine& quarantine = mState->mQuarantine;
+  const TimePoint now = SteadyNow();
+  if (apricotyard::AddStrike(quarantine, aStrike, now) &&
+      Permit(quarantine, aStrike.mFingerprint, mState->mLimits.mHost, now) == Permission::Stopped) {
+    LogEvent(Event::RequestQuarantined,
+             { { "fingerprint", fmt::format("{:016x}", aStrike.mFingerprint) },
+               { "host", aStrike.mHost } });
+  }
+}
+
 std::uint64_t
 Relay::SentSubrequests() const
 {
@@ -371,6 +430,10 @@
     counts.mHeld += replica->mHeldUntil > now ? 1 : 0;
   }
   state.mMetrics.SetReplicaCounts(counts);
+  ExpireQuarantine(state.mQuarantine, now);
+  const std::vector<QuarantineEntry> suspects = ListQuarantine(state.mQuarantine);
+  state.mMetrics.SetStoppedRequests(static_cast<std::size_t>(std::count_if(
+    suspects.begin(), suspects.end(), [](const auto& aEntry) { return aEntry.mStopped; })));
   for (auto& [name, service] : state.mServices) {
     state.mMetrics.SetBudgetUsed(
       name, ExtraBudgetUsed(service.mBudget, state.ExtraSendLimits(), state.mGatewayCount, now));
@@ -454,8 +517,12 @@
     Finish(aRelayed, MakeRefusal(Result::Stopping, "the gateway stops before it could answer"));
     return;
   }
+  ExpireQuarantine(mQuarantine, relayed.mArrivedAt);
   if (!SelectSubrequests(relayed)) {
-    Finish(aRelayed, MakeRefusal(Result::NoReplica, "too few replicas can take the request"));
+    Finish(aRelayed,
+           IsAnyStopped(relayed)
+             ? MakeStoppedRefusal(relayed)
+             : MakeRefusal(Result::NoReplica, "too few replicas can take the request"));
     return;
   }
   relayed.mRespond.OnCallerDisconnected([this, weak = std::weak_ptr<RelayedRequest>(aRelayed)] {
@@ -504,7 +571,7 @@
     [this, &aRelayed](const Subrequest& aSubrequest) {
       const auto service = mServices.find(aSubrequest.mService);
       return service != mServices.end() && service->second.mWaitQueue.Size() < kMaxQueuedRequests &&
-             !WouldWaitTooLong(aRelayed, service->second) &&
+             !WouldWaitTooLong(aRelayed, service->second) && !IsStopped(aRelayed, aSubrequest) &&
              std::any_of(service->second.mReplicas.begin(),
                          service->second.mReplicas.end(),
                          [](const ReplicaView* aReplica) { return IsUsable(*aReplica); });
@@ -552,9 +619,25 @@
     UpdatePlacementLimits(*aRelayed.mRoutingTable, aSubrequest.mService);
   const Duration typicalLatency =
     TypicalLatency(mRouteLatencies[aRelayed.mRoute->mName].mAll, aRelayed.mRoute->mObjective);
+  if (IsStopped(aRelayed, aSubrequest)) {
+    return nullptr;
+  }
   UpdateConnectionState(service->second);
-  return ChooseReplica(
-    service->second.mReplicas, aSubrequest.mTriedReplicas, limits, typicalLatency, aNow, mRng);
+  std::span<ReplicaView* const> replicas = service->second.mReplicas;
+  const std::set<std::string>& tried = aSubrequest.mTriedReplicas;
+  if (NeedsIsolation(aRelayed, aSubrequest)) {
+    std::set<std::string> excluded = tried;
+    for (const ReplicaView* const replica : replicas) {
+      if (!replica->mInFlightSince.empty()) {
+        excluded.insert(replica->mInfo.mId);
+      }
+    }
+    if (ReplicaView* const replica =
+          ChooseReplica(replicas, excluded, limits, typicalLatency, aNow, mRng)) {
+      return replica;
+    }
+  }
+  return ChooseReplica(replicas, tried, limits, typicalLatency, aNow, mRng);
 }
 
 const PlacementLimits&
@@ -711,6 +794,11 @@
   attempt.mSentAt = now;
   attempt.mIsFirstSend = subrequest.mSendCount == 0;
   attempt.mIsLocal = replica->mInfo.mDataCentre == mLimits.mDataCentre;
+  if (NeedsIsolation(*aRelayed, subrequest) && replica->mInFlightSince.empty()) {
+    attempt.mIsolated = true;
+    replica->mIsolated = true;
+    BeginSuspectRun(mQuarantine, FingerprintOf(*aRelayed, subrequest));
+  }
   subrequest.mTriedReplicas.insert(replica->mInfo.mId);
   subrequest.mActiveAttempts.insert(attemptId);
   ++subrequest.mSendCount;
@@ -807,7 +895,8 @@
 Relay::State::Enqueue(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex)
 {
   const std::string& service = aRelayed->mSubrequests[aIndex].mService;
-  if (WouldWaitTooLong(*aRelayed, mServices[service])) {
+  if (IsStopped(*aRelayed, aRelayed->mSubrequests[aIndex]) ||
+      WouldWaitTooLong(*aRelayed, mServices[service])) {
     return false;
   }
   WaitQueue<WaitingSubrequest>& queue = mServices[service].mWaitQueue;
@@ -834,7 +923,8 @@
       continue;
     }
     const std::vector<ReplicaView*>& replicas = mServices[aService].mReplicas;
-    if (std::none_of(replicas.begin(), replicas.end(), [](const ReplicaView* aReplica) {
+    if (IsStopped(*owner, owner->mSubrequests[waiting->mSubrequestIndex]) ||
+        std::none_of(replicas.begin(), replicas.end(), [](const ReplicaView* aReplica) {
           return IsUsable(*aReplica);
         })) {
       owner->mSubrequests[waiting->mSubrequestIndex].mFailed = true;
@@ -880,7 +970,12 @@
 Relay::State::ReleaseAttempt(Attempt& aAttempt)
 {
   mLoop.CancelTimer(aAttempt.mGraceTimer);
+  if (aAttempt.mIsolated) {
+    const RelayedRequest& owner = *aAttempt.mOwner;
+    EndSuspectRun(mQuarantine, FingerprintOf(owner, owner.mSubrequests[aAttempt.mSubrequestIndex]));
+  }
   if (const auto replica = mReplicas.find(aAttempt.mUpstream); replica != mReplicas.end()) {
+    replica->second->mIsolated &= !aAttempt.mIsolated;
     std::multiset<TimePoint>& inFlight = replica->second->mInFlightSince;
     if (const auto sent = inFlight.find(aAttempt.mSentAt); sent != inFlight.end()) {
       inFlight.erase(sent);
@@ -888,6 +983,83 @@
   }
 }
 
+bool
+Relay::State::IsStopped(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const
+{
+  if (mQuarantine.mSuspects.empty()) {
+    return false;
+  }
+  const Fingerprint fingerprint = FingerprintOf(aRelayed, aSubrequest);
+  if (!IsSuspect(mQuarantine, fingerprint)) {
+    return false;
+  }
+  const Permission permission = Permit(mQuarantine, fingerprint, mLimits.mHost, SteadyNow());
+  return permission == Permission::Stopped || permission == Permission::Busy;
+}
+
+bool
+Relay::State::IsAnyStopped(const RelayedRequest& aRelayed) const
+{
+  return std::any_of(aRelayed.mSubrequests.begin(),
+                     aRelayed.mSubrequests.end(),
+                     [&](const Subrequest& aOne) { return IsStopped(aRelayed, aOne); });
+}
+
+bool
+Relay::State::NeedsIsolation(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const
+{
+  return !mQuarantine.mSuspects.empty() &&
+         IsSuspect(mQuarantine, FingerprintOf(aRelayed, aSubrequest));
+}
+
+// A crashed replica closes its connections, and its address refuses new ones. A replica that only
+// lost a connection, or that is out of reach, does not refuse.
+void
+Relay::State::HandlePossibleCrash(const Attempt& aAttempt,
+                                  const ReplicaView& aReplica,
+                                  const ClientReply& aReply)
+{
+  const std::string& upstream = aAttempt.mUpstream;
+  if (aReply.mRefused) {
+    ConfirmCrash(upstream);
+  }
+  if (aReply.mEnd != TransferEnd::Lost || !aReply.mConnectionEnded) {
+    return;
+  }
+  const RelayedRequest& owner = *aAttempt.mOwner;
+  AddConnectionLoss(mQuarantine,
+                    upstream,
+                    { FingerprintOf(owner, owner.mSubrequests[aAttempt.mSubrequestIndex]),
+                      aReplica.mInfo.mIncarnation,
+                      aAttempt.mIsolated,
+                      SteadyNow() });
+  if (mCrashChecks.insert(upstream).second) {
+    mLoop.AddTimer(SteadyNow() + kCrashCheckTime,
+                   [this, upstream] { mCrashChecks.erase(upstream); });
+    mClient.CheckListening(aReplica.mInfo.mAddress, [this, upstream] { ConfirmCrash(upstream); });
+  }
+}
+
+void
+Relay::State::ConfirmCrash(const std::string& aUpstream)
+{
+  const TimePoint now = SteadyNow();
+  for (const Strike& strike :
+       apricotyard::ConfirmCrash(mQuarantine, aUpstream, mLimits.mHost, now)) {
+    const std::string fingerprint = fmt::format("{:016x}", strike.mFingerprint);
+    LogEvent(
+      Event::UpstreamCrashed,
+      { { "upstream", aUpstream }, { "fingerprint", fingerprint }, { "alone", strike.mAlone } });
+    if (Permit(mQuarantine, strike.mFingerprint, mLimits.mHost, now) == Permission::Stopped) {
+      LogEvent(Event::RequestQuarantined,
+               { { "fingerprint", fingerprint }, { "host", strike.mHost } });
+    }
+    if (mOnStrike) {
+      mOnStrike(strike);
+    }
+  }
+}
+
 void
 Relay::State::RecordAttemptEnd(const Attempt& aAttempt, AttemptEnd aEnd, const ClientReply& aReply)
 {
@@ -905,6 +1077,12 @@
   if (const auto idle = KeepAliveTimeout(aReply.Header("keep-alive"))) {
     replica->second->mIdleTimeout = *idle;
   }
+  HandlePossibleCrash(aAttempt, *replica->second, aReply);
+  if (aAttempt.mIsolated && (aEnd == AttemptEnd::Answered || aEnd == AttemptEnd::RanAndFailed)) {
+    const RelayedRequest& owner = *aAttempt.mOwner;
+    ClearSuspicion(mQuarantine,
+                   FingerprintOf(owner, owner.mSubrequests[aAttempt.mSubrequestIndex]));
+  }
   RouteLatencies& latencies = LatenciesOf(*aAttempt.mOwner);
   const Duration typicalLatency = TypicalLatency(latencies.mAll, route.mObjective);
   const Duration took = now - aAttempt.mSentAt;
@@ -939,6 +1117,7 @@
              { "status", aReply.mStatus },
              { "took_ms", took / std::chrono::milliseconds(1) },
              { "reused", aReply.mReusedConnection },
+             { "refused", aReply.mRefused },
              { "reason", aReply.mMessage } });
 }
 
@@ -1122,6 +1301,9 @@
       !aRelayed.mDeadlinePassed) {
     return MakeForwardedResponse(first);
   }
+  if (!mayHaveRun && IsAnyStopped(aRelayed)) {
+    return MakeStoppedRefusal(aRelayed);
+  }
   if (!mayHaveRun) {
     return MakeRefusal(Result::NoReplica, "no replica took the request");
   }
@@ -1140,6 +1322,24 @@
   return response;
 }
 
+// Names the time for which equal requests stay stopped: earlier ones would be refused as well.
+HttpResponse
+Relay::State::MakeStoppedRefusal(const RelayedRequest& aRelayed)
+{
+  const TimePoint now = SteadyNow();
+  TimePoint until = now;
+  for (const Subrequest& subrequest : aRelayed.mSubrequests) {
+    if (IsStopped(aRelayed, subrequest)) {
+      until = std::max(until, SuspectUntil(mQuarantine, FingerprintOf(aRelayed, subrequest), now));
+    }
+  }
+  HttpResponse response =
+    ErrorResponse(Result::StoppedCrashes, "equal requests crashed replicas; not run");
+  const std::chrono::duration<double> seconds = until - now;
+  response.mHeaders.push_back({ "Retry-After", fmt::format("{:.2f}", seconds.count()) });
+  return response;
+}
+
 void
 Relay::State::Finish(const std::shared_ptr<RelayedRequest>& aRelayed, HttpResponse aResponse)
 {
--- a/src/relay.h
+++ b/src/relay.h
@@ -8,6 +8,7 @@
 #include "metrics.h"
 #include "placement.h"
 #include "platform_protocol.h"
+#include "quarantine.h"
 #include "routing.h"
 
 #include <memory>
@@ -51,6 +52,12 @@
   // refused.
   void BeginStop(TimePoint aFinishBy);
 
+  // Sets the function that gets each crash of a replica that this gateway attributes to a request,
+  // for the other gateways.
+  void SetStrikeHandler(std::function<void(const Strike&)> aHandler);
+  // Records a crash that another gateway saw.
+  void AddStrike(const Strike& aStrike);
+
   // Handles one request and responds once, possibly before returning. There is no response if the
   // caller disconnects or the process stops first.
   void Handle(HttpRequest aRequest, HttpResponder aRespond);
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -24,6 +24,9 @@
       aRegistry.AddGauge("apricot_replicas_leaving", "Replicas that announced their stop."))
   , mHeldReplicas(
       aRegistry.AddGauge("apricot_replicas_held", "Replicas that want no requests for some time."))
+  , mStoppedRequests(aRegistry.AddGauge("apricot_requests_stopped",
+                                        "Requests by service and content that are stopped because "
+                                        "they crash replicas."))
   , mLocalBytes(aRegistry.AddCounter("apricot_replica_bytes_total",
                                      "Bytes of finished attempts, sent and received.",
                                      R"(data_centre="own")"))
@@ -133,4 +136,10 @@
   mHeldReplicas.Set(static_cast<double>(aCounts.mHeld));
 }
 
+void
+RelayMetrics::SetStoppedRequests(std::size_t aCount)
+{
+  mStoppedRequests.Set(static_cast<double>(aCount));
+}
+
 } // namespace apricotyard
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -51,6 +51,7 @@
   void SetBudgetUsed(const std::string& aService, double aShare);
   void SetOpenRequests(std::size_t aRequests);
   void SetReplicaCounts(const ReplicaCounts& aCounts);
+  void SetStoppedRequests(std::size_t aCount);
 
 private:
   static constexpr std::size_t kOutcomeCount = 5;
@@ -78,6 +79,7 @@
   Gauge& mLimitedReplicas;
   Gauge& mLeavingReplicas;
   Gauge& mHeldReplicas;
+  Gauge& mStoppedRequests;
   Counter& mLocalBytes;
   Counter& mRemoteBytes;
   std::map<std::string, RouteMetrics> mRoutes;
--- a/src/replica_signals.cpp
+++ b/src/replica_signals.cpp
@@ -58,7 +58,8 @@
 {
   const bool held =
     aReplica.mHeldUntil > aNow || (aReplica.mHoldCut && !aReplica.mInFlightSince.empty());
-  return IsUsable(aReplica) && !held && AllowsRequest(aReplica.mRequestLimit, aNow);
+  return IsUsable(aReplica) && !held && !aReplica.mIsolated &&
+         AllowsRequest(aReplica.mRequestLimit, aNow);
 }
 
 TimePoint
--- a/src/replica_signals.h
+++ b/src/replica_signals.h
@@ -32,7 +32,7 @@
 bool
 IsUsable(const ReplicaView& aReplica);
 
-// Whether the replica's own words allow a request now.
+// Whether the replica's own words allow a request now, and none is in flight that must be alone.
 bool
 TakesRequest(const ReplicaView& aReplica, TimePoint aNow);
 
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -6,6 +6,10 @@
 #include "socket_address.h"
 #include "test_address.h"
 
+#include <array>
+#include <map>
+#include <utility>
+
 #include <arpa/inet.h>
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -129,6 +133,14 @@
     mRelay.SetRouting(std::make_shared<RoutingTable>(document));
   }
 
+  // Adds a replica of aService without a server.
+  FakeReplica& AddReplicaWithoutServer(const std::string& aService)
+  {
+    FakeReplica& added = AddReplica(aService, {});
+    added.mServer.reset();
+    return added;
+  }
+
   ClientReply Send(ClientRequest aRequest)
   {
     ClientReply result;
@@ -271,6 +283,143 @@
   return fd;
 }
 
+// Server that ends like a crashed process on some requests: all connections close without a reply,
+// and nothing listens at the address. Answers GET requests only.
+class CrashingServer
+{
+public:
+  CrashingServer(Loop& aLoop,
+                 SocketAddress aAddress,
+                 std::function<bool(const std::string&)> aCrashes)
+    : mLoop(aLoop)
+    , mAddress(std::move(aAddress))
+    , mCrashes(std::move(aCrashes))
+  {
+    Start();
+  }
+  ~CrashingServer() { Stop(); }
+  CrashingServer(const CrashingServer&) = delete;
+  CrashingServer& operator=(const CrashingServer&) = delete;
+
+  void Start()
+  {
+    mListener = OpenListener(mAddress);
+    mLoop.AddFd(mListener, EPOLLIN, [this](std::uint32_t) {
+      const int fd = accept4(mListener, nullptr, nullptr, SOCK_NONBLOCK);
+      if (fd >= 0) {
+        mConnections[fd];
+        mLoop.AddFd(fd, EPOLLIN, [this, fd](std::uint32_t) { Read(fd); });
+      }
+    });
+  }
+
+  bool IsListening() const { return mListener >= 0; }
+  std::size_t CrashCount() const { return mCrashCount; }
+
+private:
+  void Close(int aFd)
+  {
+    mLoop.RemoveFd(aFd);
+    close(aFd);
+  }
+
+  void Stop()
+  {
+    if (mListener >= 0) {
+      Close(std::exchange(mListener, -1));
+    }
+    for (const auto& [fd, input] : std::exchange(mConnections, {})) {
+      Close(fd);
+    }
+  }
+
+  void Read(int aFd)
+  {
+    std::array<char, 4096> buffer;
+    const ssize_t count = recv(aFd, buffer.data(), buffer.size(), 0);
+    if (count <= 0) {
+      Close(aFd);
+      mConnections.erase(aFd);
+      return;
+    }
+    std::string& input = mConnections[aFd];
+    input.append(buffer.data(), static_cast<std::size_t>(count));
+    if (input.find("\r\n\r\n") == std::string::npos) {
+      return;
+    }
+    const std::string head = std::exchange(input, {});
+    if (mCrashes(head.substr(0, head.find(' ', 4)))) {
+      ++mCrashCount;
+      Stop();
+      return;
+    }
+    const std::string reply =
+      "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signature: s1\r\nContent-Length: 0\r\n\r\n";
+    CPPUNIT_ASSERT(send(aFd, reply.data(), reply.size(), MSG_NOSIGNAL) > 0);
+  }
+
+  Loop& mLoop;
+  const SocketAddress mAddress;
+  // Gets the method and the path of a request.
+  const std::function<bool(const std::string&)> mCrashes;
+  int mListener = -1;
+  // The input so far, by socket.
+  std::map<int, std::string> mConnections;
+  std::size_t mCrashCount = 0;
+};
+
+// Replicas that crash on some requests, of all services of one route.
+class CrashingFleet
+{
+public:
+  CrashingFleet(
+    RelayFixture& aFixture,
+    Route aRoute,
+    std::size_t aPerService,
+    const std::function<bool(const std::string&)>& aCrashes =
+      [](const std::string& aRequest) { return aRequest == "GET /crash"; })
+    : mFixture(aFixture)
+    , mRoute(std::move(aRoute))
+  {
+    for (const WeightedService& service : mRoute.mServices) {
+      for (std::size_t i = 0; i < aPerService; ++i) {
+        FakeReplica& replica = aFixture.AddReplicaWithoutServer(service.mService);
+        mReplicas.push_back(&replica);
+        mServers.push_back(
+          std::make_unique<CrashingServer>(aFixture.EventLoop(), replica.mInfo.mAddress, aCrashes));
+      }
+    }
+    aFixture.Publish(mRoute);
+  }
+
+  // Starts the replicas that have crashed again, as new incarnations.
+  void Restart()
+  {
+    for (std::size_t i = 0; i < mServers.size(); ++i) {
+      if (!mServers[i]->IsListening()) {
+        ++mReplicas[i]->mInfo.mIncarnation;
+        mServers[i]->Start();
+      }
+    }
+    mFixture.Publish(mRoute);
+  }
+
+  std::size_t Crashes(const std::string& aService) const
+  {
+    std::size_t crashes = 0;
+    for (std::size_t i = 0; i < mServers.size(); ++i) {
+      crashes += mReplicas[i]->mInfo.mService == aService ? mServers[i]->CrashCount() : 0;
+    }
+    return crashes;
+  }
+
+private:
+  RelayFixture& mFixture;
+  const Route mRoute;
+  std::vector<FakeReplica*> mReplicas;
+  std::vector<std::unique_ptr<CrashingServer>> mServers;
+};
+
 } // namespace
 
 class RelayTest : public CppUnit::TestFixture
@@ -310,6 +459,11 @@
   CPPUNIT_TEST(ReplyThatEndsInsideItsHeadIsNoAnswer);
   CPPUNIT_TEST(AbortedRequestsAreAnsweredBeforeTheProcessEnds);
   CPPUNIT_TEST(StoppingRelayRefusesWhatItCannotFinish);
+  CPPUNIT_TEST(RequestThatCrashesReplicasIsStopped);
+  CPPUNIT_TEST(GatherThatCrashesReplicasIsStopped);
+  CPPUNIT_TEST(RequestThatCrashesReplicasAtOtherGatewaysIsStopped);
+  CPPUNIT_TEST(RequestLostInUnrelatedCrashesIsServed);
+  CPPUNIT_TEST(LostConnectionsAloneStopNothing);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -962,6 +1116,107 @@
     CPPUNIT_ASSERT_EQUAL(std::string("close"), std::string(refused.Header("connection")));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), replica.mReceived.size());
   }
+
+  void RequestThatCrashesReplicasIsStopped()
+  {
+    RelayFixture fixture;
+    CrashingFleet fleet(fixture, SingleServiceRoute(true), 4);
+    ClientReply reply;
+    for (int i = 0; i < 6; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+      reply = fixture.Get("/crash");
+      fleet.Restart();
+    }
+    CPPUNIT_ASSERT(fleet.Crashes("s") <= 3);
+    CPPUNIT_ASSERT_EQUAL(503, reply.mStatus);
+    CPPUNIT_ASSERT(!reply.Header("retry-after").empty());
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+    CPPUNIT_ASSERT(fixture.HasMetricLine("apricot_requests_stopped 1"));
+  }
+
+  void GatherThatCrashesReplicasIsStopped()
+  {
+    RelayFixture fixture;
+    CrashingFleet fleet(fixture, GatherRoute(3, 0.5), 4);
+    for (int i = 0; i < 6; ++i) {
+      fixture.Get("/crash");
+      fleet.Restart();
+    }
+    for (const char* const service : { "s0", "s1", "s2" }) {
+      CPPUNIT_ASSERT(fleet.Crashes(service) <= 3);
+    }
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/crash").mStatus);
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+  }
+
+  void RequestThatCrashesReplicasAtOtherGatewaysIsStopped()
+  {
+    std::vector<Strike> strikes;
+    {
+      RelayFixture fixture;
+      CrashingFleet fleet(fixture, SingleServiceRoute(true), 4);
+      fixture.TestedRelay().SetStrikeHandler(
+        [&](const Strike& aStrike) { strikes.push_back(aStrike); });
+      fixture.Get("/crash");
+      fleet.Restart();
+      fixture.Get("/crash");
+    }
+    RelayFixture fixture;
+    CrashingFleet fleet(fixture, SingleServiceRoute(true), 4);
+    for (Strike& strike : strikes) {
+      strike.mHost = TestIp(10);
+      fixture.TestedRelay().AddStrike(strike);
+    }
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/crash").mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fleet.Crashes("s"));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+  }
+
+  void RequestLostInUnrelatedCrashesIsServed()
+  {
+    RelayFixture fixture;
+    bool crash = true;
+    CrashingFleet fleet(fixture, SingleServiceRoute(true), 2, [&crash](const std::string&) {
+      return std::exchange(crash, false);
+    });
+    // More crashes than a request that causes them may reach.
+    for (int i = 0; i < 6; ++i) {
+      crash = true;
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/hot").mStatus);
+      fleet.Restart();
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/hot").mStatus);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 6 }, fleet.Crashes("s"));
+  }
+
+  void LostConnectionsAloneStopNothing()
+  {
+    RelayFixture fixture;
+    // Replies that end early, from replicas that go on listening.
+    const SocketAddress address{ kReplicaIp, kFirstReplicaPort + 50 };
+    const int listener = OpenListener(address);
+    std::size_t accepted = 0;
+    fixture.EventLoop().AddFd(listener, EPOLLIN, [&](std::uint32_t) {
+      const int fd = accept(listener, nullptr, nullptr);
+      if (fd >= 0) {
+        ++accepted;
+        const milliseconds afterRequest(20);
+        fixture.EventLoop().AddTimer(SteadyNow() + afterRequest, [fd] { close(fd); });
+      }
+    });
+    FakeReplica& sound = fixture.AddReplica("s", RespondWith(200, "", "s1"));
+    sound.mInfo.mAddress = address;
+    Route route = SingleServiceRoute(true);
+    route.mMaxAttempts = 1;
+    fixture.Publish(route);
+    for (int i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT_EQUAL(502, fixture.Get("/lost").mStatus);
+    }
+    // Every request reached the replica.
+    CPPUNIT_ASSERT(accepted >= 5);
+    fixture.EventLoop().RemoveFd(listener);
+    close(listener);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
