Pass requests on to other gateways while no replica can be reached

Cause: a gateway rated each replica by itself and had no view of its own reachability; coordinators went on naming it.

Ruled out: leaving look-ups alone, because callers keep a look-up for 4 s to 12 s; refusing or closing connections, because each is a failed first attempt of a caller; a verdict from silence alone, because slow replicas are silent as well. New connections decide instead.

Change: reachability decides, the relay passes requests on to another gateway, once and only if they may be repeated or have not run, coordinators name other gateways to it and leave it out of look-ups, unless none reaches replicas.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -130,6 +130,8 @@
   void FillDocument(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const;
   Expected<void> ListenForMetrics();
   void FillHosts(rpc::FleetSyncReply& aReply, TimePoint aNow) const;
+  // Names gateways to which a gateway that reaches no replica can pass requests on.
+  void FillPeers(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const;
   // Takes the crashes that a gateway reports and adds those that it lacks to the reply.
   void ExchangeCrashes(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply);
   std::vector<GatewayCandidate> ListCandidates(TimePoint aNow) const;
@@ -577,6 +579,7 @@
   reply.set_more_records(changes.mMore);
   FillHosts(reply, now);
   ExchangeCrashes(aRequest, reply);
+  FillPeers(aRequest, reply);
   reply.set_active_gateways(static_cast<std::uint32_t>(mActiveGateways));
   reply.set_active(IsActive(mSubset, aRequest.self().ip()));
   if (aRequest.self().coordinator()) {
@@ -593,12 +596,29 @@
 Coordinator::ListCandidates(TimePoint aNow) const
 {
   std::vector<GatewayCandidate> candidates;
-  for (const FleetHost* const host : ServingGateways(mRegistry, aNow)) {
+  for (const FleetHost* const host : PreferredGateways(ServingGateways(mRegistry, aNow))) {
     candidates.push_back({ host->mIp, host->mDataCentre, host->mLoad, host->mReady });
   }
   return candidates;
 }
 
+void
+Coordinator::FillPeers(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const
+{
+  constexpr int kMaxPeers = 8;
+  if (!aRequest.self().avoid_callers()) {
+    return;
+  }
+  const std::string& dataCentre = aRequest.self().data_centre();
+  for (const std::string& ip :
+       GatewaysForCaller(mSubset, ListCandidates(SteadyNow()), dataCentre)) {
+    const FleetHost& host = mRegistry.mHosts.at(ip).mHost;
+    if (!host.mAvoidCallers && aReply.peers_size() < kMaxPeers) {
+      aReply.add_peers(FormatSocketAddress(host.mPublicAddress));
+    }
+  }
+}
+
 void
 Coordinator::UpdateSubset()
 {
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -20,6 +20,7 @@
   message.set_pause_ms(static_cast<std::uint32_t>(aHost.mPause / std::chrono::milliseconds(1)));
   message.set_load(aHost.mLoad);
   message.set_ready(aHost.mReady);
+  message.set_avoid_callers(aHost.mAvoidCallers);
   return message;
 }
 
@@ -41,6 +42,7 @@
   host.mPause = std::chrono::milliseconds(aMessage.pause_ms());
   host.mLoad = std::max(aMessage.load(), 0.0);
   host.mReady = aMessage.ready();
+  host.mAvoidCallers = aMessage.avoid_callers();
   return host;
 }
 
--- a/src/fleet_registry.cpp
+++ b/src/fleet_registry.cpp
@@ -137,4 +137,15 @@
   return gateways;
 }
 
+std::vector<const FleetHost*>
+PreferredGateways(std::vector<const FleetHost*> aGateways)
+{
+  std::vector<const FleetHost*> preferred;
+  std::copy_if(aGateways.begin(),
+               aGateways.end(),
+               std::back_inserter(preferred),
+               [](const FleetHost* aHost) { return !aHost->mAvoidCallers; });
+  return preferred.empty() ? aGateways : preferred;
+}
+
 } // namespace apricotyard
--- a/src/fleet_registry.h
+++ b/src/fleet_registry.h
@@ -34,6 +34,8 @@
   // Gateways: see GatewayCandidate.
   double mLoad = 0;
   bool mReady = false;
+  // Gateways: no replica can be reached from it, or not for long.
+  bool mAvoidCallers = false;
 };
 
 // A gateway or coordinator that has called this coordinator.
@@ -139,6 +141,10 @@
 std::vector<const FleetHost*>
 ServingGateways(const FleetRegistry& aRegistry, TimePoint aNow);
 
+// Returns the gateways that callers should use: those that reach replicas, or all if none does.
+std::vector<const FleetHost*>
+PreferredGateways(std::vector<const FleetHost*> aGateways);
+
 } // namespace apricotyard
 
 #endif
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -97,6 +97,10 @@
   // Learns of crashes that other gateways saw.
   void ApplyCrashes(const rpc::FleetSyncReply& aReply);
   void ReportCrashes();
+  // Tells coordinators at once whether callers should use other gateways.
+  void ReportReachability();
+  // Learns of the gateways to which requests can be passed on.
+  void ApplyPeers(const rpc::FleetSyncReply& aReply);
   void ConsiderDocument(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void AdoptDocument();
   void ExpireUpstreams();
@@ -206,6 +210,7 @@
   mLoop.AddPeriodic(kExpireInterval, [this] { ExpireUpstreams(); });
   mLoop.AddPeriodic(kLoadInterval, [this] { ReportLoad(); });
   mLoop.AddPeriodic(kCrashReportInterval, [this] { ReportCrashes(); });
+  mRelay.SetReachabilityHandler([this] { ReportReachability(); });
   mRelay.SetStrikeHandler([this](const Strike& aStrike) {
     Append(mStrikes, aStrike, SteadyNow());
     ReportCrashes();
@@ -322,6 +327,7 @@
     }
   }
   ApplyCrashes(aReply);
+  ApplyPeers(aReply);
   ApplySubset(aIp, aReply);
   if (changed) {
     PublishUpstreams();
@@ -417,6 +423,33 @@
   mLoad += kLoadSmoothing * (load - mLoad);
   mSelf.mLoad = mLoad;
   mClient->SetLoad(mLoad);
+  ReportReachability();
+}
+
+void
+Gateway::ReportReachability()
+{
+  const bool avoid = mRelay.ShouldAvoidCallers();
+  if (avoid != mSelf.mAvoidCallers) {
+    mSelf.mAvoidCallers = avoid;
+    mClient->SetLocalHost(mSelf);
+  }
+}
+
+void
+Gateway::ApplyPeers(const rpc::FleetSyncReply& aReply)
+{
+  std::vector<SocketAddress> peers;
+  for (const std::string& address : aReply.peers()) {
+    if (const auto peer = ParseSocketAddress(address)) {
+      peers.push_back(*peer);
+    } else {
+      LogEvent(Event::AnnouncementRejected, { { "reason", "address of a gateway" } });
+    }
+  }
+  if (!peers.empty()) {
+    mRelay.SetPeers(std::move(peers));
+  }
 }
 
 // Keeps the newest document received and adopts it. The first document is adopted only when it is
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -11,6 +11,7 @@
 #include <list>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include <fmt/format.h>
 #include <netinet/in.h>
@@ -72,8 +73,8 @@
   TransferId mTransfer = 0;
   TimerId mConnectTimer = 0;
   bool mReused = false;
-  // Called if the server's host refuses the connection. May be empty.
-  std::function<void()> mOnRefused;
+  // Called when it is known whether the server accepts the connection. May be empty.
+  std::function<void(ConnectOutcome)> mOnOutcome;
   std::optional<ReplyParser> mParser;
   // The parser's part of State::mBufferedBytes.
   std::size_t mBufferedBytes = 0;
@@ -161,6 +162,7 @@
   ConnectionPtr Open(Server& aServer, Duration aConnectTimeout);
   void OnSocketEvent(const ConnectionPtr& aConnection, std::uint32_t aEvents);
   void OnConnected(const ConnectionPtr& aConnection);
+  static void ReportOutcome(Connection& aConnection, ConnectOutcome aOutcome);
   void Start(const ConnectionPtr& aConnection, TransferId aId, Transfer& aTransfer);
   void Write(const ConnectionPtr& aConnection);
   void Read(const ConnectionPtr& aConnection);
@@ -304,6 +306,7 @@
     connection->mConnectTimer = 0;
     Close(connection);
     Finish(transfer, TransferEnd::NotConnected, "no connection in time");
+    ReportOutcome(*connection, ConnectOutcome::Failed);
   });
   return connection;
 }
@@ -343,10 +346,9 @@
   const TransferId id = aConnection->mTransfer;
   if (error != 0) {
     Close(aConnection);
-    if (error == ECONNREFUSED && aConnection->mOnRefused) {
-      aConnection->mOnRefused();
-    }
     Finish(id, TransferEnd::NotConnected, std::strerror(error), error);
+    ReportOutcome(*aConnection,
+                  error == ECONNREFUSED ? ConnectOutcome::Refused : ConnectOutcome::Failed);
     return;
   }
   mLoop.ModifyFd(aConnection->mFd, EPOLLIN | EPOLLRDHUP);
@@ -357,6 +359,15 @@
   } else {
     Start(aConnection, id, *transfer->second);
   }
+  ReportOutcome(*aConnection, ConnectOutcome::Accepted);
+}
+
+void
+HttpClient::State::ReportOutcome(Connection& aConnection, ConnectOutcome aOutcome)
+{
+  if (const auto handler = std::exchange(aConnection.mOnOutcome, {})) {
+    handler(aOutcome);
+  }
 }
 
 void
@@ -670,15 +681,19 @@
 }
 
 void
-HttpClient::CheckListening(const SocketAddress& aAddress, std::function<void()> aOnRefused)
+HttpClient::CheckConnection(const SocketAddress& aAddress,
+                            Duration aTimeout,
+                            std::function<void(ConnectOutcome)> aHandler)
 {
   Server& server = mState->FindOrAddServer(aAddress);
-  if (const ConnectionPtr connection = mState->Open(server, kMaxConnectTime)) {
-    connection->mOnRefused = std::move(aOnRefused);
+  if (const ConnectionPtr connection = mState->Open(server, aTimeout)) {
+    connection->mOnOutcome = std::move(aHandler);
     server.mUnassigned.push_back(connection);
-  } else if (errno == ECONNREFUSED) {
-    mState->mLoop.AddTimer(SteadyNow(), std::move(aOnRefused));
+    return;
   }
+  const auto outcome = errno == ECONNREFUSED ? ConnectOutcome::Refused : ConnectOutcome::Failed;
+  mState->mLoop.AddTimer(SteadyNow(),
+                         [handler = std::move(aHandler), outcome] { handler(outcome); });
 }
 
 void
@@ -713,6 +728,14 @@
   }
 }
 
+bool
+HttpClient::IsSent(TransferId aTransfer) const
+{
+  const auto found = mState->mTransfers.find(aTransfer);
+  return found != mState->mTransfers.end() && found->second->mConnection != nullptr &&
+         found->second->mConnection->mWritten > 0;
+}
+
 bool
 HttpClient::IsSilent(TransferId aTransfer) const
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -74,6 +74,16 @@
   std::string_view Header(std::string_view aName) const;
 };
 
+// How an attempt to open a connection ended.
+enum class ConnectOutcome : std::uint8_t
+{
+  Accepted,
+  // The server's host answered that nothing listens at the address.
+  Refused,
+  // No answer in time, or another error.
+  Failed,
+};
+
 using ClientHandler = std::function<void(ClientReply)>;
 
 // All methods must be called on the loop's thread. Handlers are never called from inside Send. The
@@ -94,10 +104,12 @@
   // Opens a connection before the first request needs it, unless the server already has one.
   // Failures are ignored, because the request will report them.
   void Preconnect(const SocketAddress& aAddress);
-  // Opens another connection and calls aOnRefused if the server's host answers that nothing listens
-  // at the address. Tells a crash of the server from the loss of a connection. A connection that is
-  // established is kept for later requests.
-  void CheckListening(const SocketAddress& aAddress, std::function<void()> aOnRefused);
+  // Opens another connection to find out whether the server can be reached. aHandler is called
+  // once, unless the client is destroyed first. A connection that is accepted is kept for later
+  // requests.
+  void CheckConnection(const SocketAddress& aAddress,
+                       Duration aTimeout,
+                       std::function<void(ConnectOutcome)> aHandler);
   // Limits the number of idle connections over all servers to aCount, at most 2048. Connections
   // beyond the limit are closed, the longest idle first.
   void SetMaxIdleConnections(std::size_t aCount);
@@ -107,6 +119,8 @@
   // Ends a transfer without calling its handler. Its connection is closed if the request was sent,
   // and kept for the next request if it is still being opened. Unknown identifiers are ignored.
   void Cancel(TransferId aTransfer);
+  // Returns true if part of the request may have reached the server. False for unknown identifiers.
+  bool IsSent(TransferId aTransfer) const;
   // Returns true if the transfer was sent on a reused connection and no byte of the reply has
   // arrived.
   bool IsSilent(TransferId aTransfer) const;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarding.h"
 #include "log.h"
+#include "reachability.h"
 #include "relay_metrics.h"
 #include "relay_policy.h"
 #include "replica_signals.h"
@@ -53,8 +54,18 @@
 constexpr std::chrono::seconds kIdleCloseMargin{ 1 };
 // An unreadable header of a replica is logged again after this time.
 constexpr Duration kUnreadableLogInterval = std::chrono::seconds(30);
+// Other gateways to which one request is passed on while this one reaches no replica.
+constexpr std::size_t kMaxPassedOn = 3;
+// Time within which coordinators name other gateways after this one has lost its replicas.
+constexpr Duration kPeerLookupTime = std::chrono::milliseconds(500);
+// Marks a request that another gateway passes on, which is not passed on again.
+constexpr const char* kPassedOnHeader = "apricot-passed-on";
+// Shorter than the time for which gateways keep idle connections of callers.
+constexpr std::chrono::seconds kPeerIdleTime{ 10 };
+constexpr Duration kReachabilityInterval = std::chrono::milliseconds(100);
 // After a lost connection, the address of the replica is checked at most once in this time.
-constexpr Duration kCrashCheckTime = std::chrono::milliseconds(200);
+constexpr Duration kCrashCheckInterval = std::chrono::milliseconds(200);
+constexpr Duration kCrashCheckTimeout = std::chrono::milliseconds(1000);
 // Crashes of one service's replicas after which a request is stopped even if none of them happened
 // while it was the only request there: a busy gateway finds no replica for it alone.
 constexpr std::size_t kUnprovenStrikesToStop = 3;
@@ -100,6 +111,10 @@
   std::vector<Subrequest> mSubrequests;
   TimerId mObjectiveTimer = 0;
   TimerId mDeadlineTimer = 0;
+  // Another gateway handles the request: the transfer, or 0, and the gateways tried.
+  TransferId mPeerTransfer = 0;
+  std::vector<SocketAddress> mTriedPeers;
+  bool mMayHaveRunAtPeer = false;
   bool mObjectivePassed = false;
   bool mDeadlinePassed = false;
   bool mFinished = false;
@@ -174,6 +189,25 @@
   return MakeFingerprint(aSubrequest.mService, fmt::format("{:x}", *aRelayed.mContent));
 }
 
+bool
+MayHaveRun(const RelayedRequest& aRelayed)
+{
+  return aRelayed.mMayHaveRunAtPeer ||
+         std::any_of(
+           aRelayed.mSubrequests.begin(), aRelayed.mSubrequests.end(), [](const Subrequest& aOne) {
+             return aOne.mPossibleRuns > 0 || aOne.mAnswered;
+           });
+}
+
+// Whether the status promises that the request has not run.
+bool
+IsRefusal(int aStatus)
+{
+  constexpr int kTooManyRequests = 429;
+  constexpr int kServiceUnavailable = 503;
+  return aStatus == kTooManyRequests || aStatus == kServiceUnavailable;
+}
+
 RelayOutcome
 ClassifyOutcome(int aStatus, bool aIncomplete)
 {
@@ -221,6 +255,20 @@
   std::size_t CountRequiredSubrequests(const RelayedRequest& aRelayed) const;
   void StartTimers(const std::shared_ptr<RelayedRequest>& aRelayed);
 
+  // Checks new connections to some replicas if all have been silent, and again while none accepts.
+  void CheckReachability();
+  void ScheduleReachabilityCheck(Duration aDelay);
+  void OnChecked(std::uint64_t aCheck, ConnectOutcome aOutcome);
+  void OnReached();
+  // Cancels the attempts that wait for a connection. They have not run.
+  void CancelUnsentAttempts(RelayedRequest& aRelayed);
+  // Passes a request on to another gateway, or answers it if none is left. Requests wait until
+  // other gateways are known. Those that may run only once stay if they may have run.
+  void PassOn(const std::shared_ptr<RelayedRequest>& aRelayed);
+  void OnPeerReply(const std::shared_ptr<RelayedRequest>& aRelayed, ClientReply aReply);
+  void PassOnOpenRequests();
+  ClientRequest MakePeerRequest(const RelayedRequest& aRelayed, const SocketAddress& aPeer) const;
+
   // Makes the first send of every sub-request. Below, aIndex is an index into mSubrequests.
   void SendFirstAttempts(const std::shared_ptr<RelayedRequest>& aRelayed);
   // Sends a sub-request to the best replica not tried yet. False if none can take it.
@@ -238,6 +286,7 @@
   // of the replica, which would delay the first replies.
   void SchedulePreconnect();
   void PreconnectReplicas();
+  ClientRequest MakeForwardedRequest(const RelayedRequest& aRelayed, TimePoint aNow) const;
   ClientRequest MakeReplicaRequest(const RelayedRequest& aRelayed,
                                    const ReplicaView& aReplica,
                                    TimePoint aNow) const;
@@ -327,6 +376,11 @@
   // Replicas whose address is being checked for a listener.
   std::set<std::string> mCrashChecks;
   std::function<void(const Strike&)> mOnStrike;
+  Reachability mReachability;
+  TimerId mReachabilityTimer = 0;
+  std::function<void()> mOnReachability;
+  std::vector<SocketAddress> mPeers;
+  TimePoint mCutOffAt;
   bool mStopping = false;
   // While stopping, when requests must have their final answer.
   TimePoint mFinishBy = TimePoint::max();
@@ -343,6 +397,28 @@
 Relay::~Relay()
 {
   mState->mLoop.CancelTimer(mState->mPreconnectTimer);
+  mState->mLoop.CancelTimer(mState->mReachabilityTimer);
+}
+
+void
+Relay::SetReachabilityHandler(std::function<void()> aHandler)
+{
+  mState->mOnReachability = std::move(aHandler);
+}
+
+bool
+Relay::ShouldAvoidCallers() const
+{
+  return apricotyard::ShouldAvoidCallers(mState->mReachability, SteadyNow());
+}
+
+void
+Relay::SetPeers(std::vector<SocketAddress> aPeers)
+{
+  mState->mPeers = std::move(aPeers);
+  if (mState->mReachability.mCutOff) {
+    mState->PassOnOpenRequests();
+  }
 }
 
 void
@@ -518,7 +594,8 @@
     return;
   }
   ExpireQuarantine(mQuarantine, relayed.mArrivedAt);
-  if (!SelectSubrequests(relayed)) {
+  const bool servable = SelectSubrequests(relayed);
+  if (!servable && (!mReachability.mCutOff || IsAnyStopped(relayed))) {
     Finish(aRelayed,
            IsAnyStopped(relayed)
              ? MakeStoppedRefusal(relayed)
@@ -534,9 +611,15 @@
                            SteadyNow() - abandoned->mArrivedAt);
       abandoned->mFinished = true;
       mOpenRequests.erase(abandoned);
+      mClient.Cancel(abandoned->mPeerTransfer);
       CancelAttempts(*abandoned);
     }
   });
+  if (mReachability.mCutOff) {
+    StartTimers(aRelayed);
+    PassOn(aRelayed);
+    return;
+  }
   SendFirstAttempts(aRelayed);
   StartTimers(aRelayed);
   FinishIfDecided(aRelayed);
@@ -612,7 +695,7 @@
                             TimePoint aNow)
 {
   const auto service = mServices.find(aSubrequest.mService);
-  if (service == mServices.end()) {
+  if (service == mServices.end() || mReachability.mCutOff) {
     return nullptr;
   }
   const PlacementLimits& limits =
@@ -678,6 +761,10 @@
   std::set<std::string_view> visited;
   std::size_t maxIdle = 0;
   const bool recentlyStarted = now < mStartedAt + kStaleConnectionTime;
+  if (mReachability.mCutOff) {
+    SchedulePreconnect();
+    return;
+  }
   for (const Route& route : mRoutingTable->Document().mRoutes) {
     const Duration typicalLatency =
       TypicalLatency(mRouteLatencies[route.mName].mAll, route.mObjective);
@@ -714,20 +801,16 @@
   mPreconnectTimer = mLoop.AddTimer(now + kPreconnectInterval, [this] { PreconnectReplicas(); });
 }
 
+// The caller's request with the time that is left, without an address.
 ClientRequest
-Relay::State::MakeReplicaRequest(const RelayedRequest& aRelayed,
-                                 const ReplicaView& aReplica,
-                                 TimePoint aNow) const
+Relay::State::MakeForwardedRequest(const RelayedRequest& aRelayed, TimePoint aNow) const
 {
   const HeaderNames& names = mProtocol.mHeaders;
   ClientRequest request;
   request.mMethod = aRelayed.mRequest.mMethod;
-  request.mAddress = aReplica.mInfo.mAddress;
   request.mPath = aRelayed.mRequest.mTarget;
   request.mBody = aRelayed.mRequest.mBody;
   request.mForwarded = true;
-  request.mMaxIdleTime =
-    std::max(aReplica.mIdleTimeout - kIdleCloseMargin, std::chrono::seconds(1));
   request.mExpectedHeader = { names.mRequestId, aRelayed.mId };
   request.mExpectedHeaderOptional = true;
   request.mMaxReply = kMaxReplyBytes;
@@ -735,13 +818,36 @@
   for (HttpHeader& header :
        EndToEndHeaders(aRelayed.mRequest.mRawHeaders, aRelayed.mRequest.Header("connection"))) {
     if (strcasecmp(header.mName.c_str(), names.mTimeLeft.c_str()) != 0 &&
+        strcasecmp(header.mName.c_str(), kPassedOnHeader) != 0 &&
         strcasecmp(header.mName.c_str(), names.mExpectedUpstream.c_str()) != 0) {
       request.mHeaders.push_back(std::move(header));
     }
   }
   request.mHeaders.push_back(
     { names.mTimeLeft, std::to_string(RemainingMillis(aRelayed.mDeadline, aNow)) });
-  request.mHeaders.push_back({ names.mExpectedUpstream, aReplica.mInfo.mId });
+  return request;
+}
+
+ClientRequest
+Relay::State::MakeReplicaRequest(const RelayedRequest& aRelayed,
+                                 const ReplicaView& aReplica,
+                                 TimePoint aNow) const
+{
+  ClientRequest request = MakeForwardedRequest(aRelayed, aNow);
+  request.mAddress = aReplica.mInfo.mAddress;
+  request.mMaxIdleTime =
+    std::max(aReplica.mIdleTimeout - kIdleCloseMargin, std::chrono::seconds(1));
+  request.mHeaders.push_back({ mProtocol.mHeaders.mExpectedUpstream, aReplica.mInfo.mId });
+  return request;
+}
+
+ClientRequest
+Relay::State::MakePeerRequest(const RelayedRequest& aRelayed, const SocketAddress& aPeer) const
+{
+  ClientRequest request = MakeForwardedRequest(aRelayed, SteadyNow());
+  request.mAddress = aPeer;
+  request.mMaxIdleTime = kPeerIdleTime;
+  request.mHeaders.push_back({ kPassedOnHeader, "1" });
   return request;
 }
 
@@ -804,6 +910,10 @@
   ++subrequest.mSendCount;
   ++subrequest.mPossibleRuns;
   replica->mInFlightSince.insert(now);
+  RecordSend(mReachability, replica->mInfo.mId, now);
+  if (mReachabilityTimer == 0) {
+    ScheduleReachabilityCheck(kSuspiciousSilence);
+  }
   CountRequest(replica->mRequestLimit, now);
   if (attempt.mIsFirstSend) {
     CountFirstSend(mServices[subrequest.mService].mBudget, mSettings.mExtraSends, now);
@@ -826,6 +936,185 @@
   }
 }
 
+void
+Relay::State::ScheduleReachabilityCheck(Duration aDelay)
+{
+  mLoop.CancelTimer(mReachabilityTimer);
+  mReachabilityTimer = mLoop.AddTimer(SteadyNow() + aDelay, [this] { CheckReachability(); });
+}
+
+void
+Relay::State::CheckReachability()
+{
+  mReachabilityTimer = 0;
+  const TimePoint now = SteadyNow();
+  std::vector<const ReplicaView*> usable;
+  for (const auto& [id, replica] : mReplicas) {
+    if (IsUsable(*replica)) {
+      usable.push_back(replica.get());
+    }
+  }
+  if (mReachability.mCutOff || !mReachability.mSilent.empty()) {
+    ScheduleReachabilityCheck(kReachabilityInterval);
+  }
+  if (!NeedsCheck(mReachability, usable.size(), now)) {
+    return;
+  }
+  if (mReachability.mCutOff && mPeers.empty()) {
+    PassOnOpenRequests();
+  }
+  std::vector<const ReplicaView*> checked;
+  std::sample(usable.begin(), usable.end(), std::back_inserter(checked), kCheckedReplicas, mRng);
+  const std::uint64_t number = BeginCheck(mReachability, checked.size());
+  for (const ReplicaView* const replica : checked) {
+    mClient.CheckConnection(
+      replica->mInfo.mAddress, kReachabilityTimeout, [this, number](ConnectOutcome aOutcome) {
+        OnChecked(number, aOutcome);
+      });
+  }
+}
+
+void
+Relay::State::OnChecked(std::uint64_t aCheck, ConnectOutcome aOutcome)
+{
+  if (aOutcome == ConnectOutcome::Accepted) {
+    OnReached();
+    return;
+  }
+  const double spread = std::uniform_real_distribution<double>(0, 1)(mRng);
+  if (!RecordUnreached(mReachability, aCheck, spread, SteadyNow())) {
+    return;
+  }
+  LogEvent(Event::ReplicasUnreachable,
+           { { "replicas", mReplicas.size() }, { "open", mOpenRequests.size() } });
+  mPeers.clear();
+  mCutOffAt = SteadyNow();
+  ScheduleReachabilityCheck(kReachabilityInterval);
+  if (mOnReachability) {
+    mOnReachability();
+  }
+  PassOnOpenRequests();
+}
+
+void
+Relay::State::OnReached()
+{
+  const TimePoint now = SteadyNow();
+  if (!RecordReached(mReachability, now)) {
+    return;
+  }
+  LogEvent(Event::ReplicasReachable,
+           { { "peers", mPeers.size() },
+             { "avoid_callers_ms", mReachability.mStableTime / std::chrono::milliseconds(1) } });
+  SchedulePreconnect();
+  if (mOnReachability) {
+    mOnReachability();
+  }
+}
+
+void
+Relay::State::PassOnOpenRequests()
+{
+  const std::set<std::shared_ptr<RelayedRequest>> open = mOpenRequests;
+  for (const std::shared_ptr<RelayedRequest>& relayed : open) {
+    if (!relayed->mFinished && relayed->mPeerTransfer == 0) {
+      PassOn(relayed);
+    }
+  }
+}
+
+void
+Relay::State::CancelUnsentAttempts(RelayedRequest& aRelayed)
+{
+  for (Subrequest& subrequest : aRelayed.mSubrequests) {
+    const std::set<AttemptId> activeAttempts = subrequest.mActiveAttempts;
+    for (const AttemptId attemptId : activeAttempts) {
+      if (!mClient.IsSent(mAttempts[attemptId].mTransfer)) {
+        --subrequest.mPossibleRuns;
+        CancelAttempt(attemptId);
+      }
+    }
+  }
+}
+
+void
+Relay::State::PassOn(const std::shared_ptr<RelayedRequest>& aRelayed)
+{
+  RelayedRequest& relayed = *aRelayed;
+  CancelUnsentAttempts(relayed);
+  if (MayHaveRun(relayed) && !relayed.mRoute->mRepeatable) {
+    return;
+  }
+  for (Subrequest& subrequest : relayed.mSubrequests) {
+    const std::set<AttemptId> activeAttempts = subrequest.mActiveAttempts;
+    for (const AttemptId attemptId : activeAttempts) {
+      CancelAttempt(attemptId);
+    }
+  }
+  std::vector<SocketAddress> untried;
+  for (const SocketAddress& peer : mPeers) {
+    const std::vector<SocketAddress>& tried = relayed.mTriedPeers;
+    if (std::find(tried.begin(), tried.end(), peer) == tried.end()) {
+      untried.push_back(peer);
+    }
+  }
+  const bool wasPassedOn = !relayed.mRequest.Header(kPassedOnHeader).empty();
+  const bool mayLearnPeers = mPeers.empty() && mCutOffAt + kPeerLookupTime > SteadyNow();
+  if (untried.empty() && mayLearnPeers && !wasPassedOn) {
+    return;
+  }
+  if (untried.empty() || wasPassedOn || relayed.mTriedPeers.size() >= kMaxPassedOn) {
+    Finish(aRelayed, MakeFailureResponse(relayed));
+    return;
+  }
+  std::uniform_int_distribution<std::size_t> draw(0, untried.size() - 1);
+  const SocketAddress peer = untried[draw(mRng)];
+  relayed.mTriedPeers.push_back(peer);
+  relayed.mPeerTransfer =
+    mClient.Send(MakePeerRequest(relayed, peer), [this, aRelayed](ClientReply aReply) {
+      OnPeerReply(aRelayed, std::move(aReply));
+    });
+}
+
+void
+Relay::State::OnPeerReply(const std::shared_ptr<RelayedRequest>& aRelayed, ClientReply aReply)
+{
+  RelayedRequest& relayed = *aRelayed;
+  relayed.mPeerTransfer = 0;
+  if (relayed.mFinished) {
+    return;
+  }
+  const bool notRun = aReply.mEnd == TransferEnd::NotConnected ||
+                      aReply.mEnd == TransferEnd::NotSent ||
+                      (aReply.mEnd == TransferEnd::Complete && IsRefusal(aReply.mStatus));
+  const bool mayHaveRun = relayed.mMayHaveRunAtPeer || std::any_of(relayed.mSubrequests.begin(),
+                                                                   relayed.mSubrequests.end(),
+                                                                   [](const Subrequest& aOne) {
+                                                                     return aOne.mPossibleRuns > 0;
+                                                                   });
+  if (aReply.mEnd == TransferEnd::Complete && !(notRun && mayHaveRun)) {
+    HttpResponse response;
+    response.mStatus = aReply.mStatus;
+    response.mContentType.clear();
+    response.mHeaders = EndToEndHeaders(aReply.mRawHeaders, aReply.Header("connection"));
+    response.mBody = std::move(aReply.mBody);
+    Finish(aRelayed, std::move(response));
+    return;
+  }
+  LogEvent(Event::PassOnFailed,
+           { { "request", relayed.mId },
+             { "transfer", static_cast<int>(aReply.mEnd) },
+             { "status", aReply.mStatus },
+             { "reason", aReply.mMessage } });
+  relayed.mMayHaveRunAtPeer |= !notRun;
+  if (mReachability.mCutOff && aReply.mEnd != TransferEnd::Complete) {
+    PassOn(aRelayed);
+  }
+  if (!relayed.mFinished && relayed.mPeerTransfer == 0) {
+    Finish(aRelayed, MakeFailureResponse(relayed));
+  }
+}
+
 bool
 Relay::State::WouldWaitTooLong(const RelayedRequest& aRelayed, const ServiceState& aService) const
 {
@@ -916,7 +1205,7 @@
   WaitQueue<WaitingSubrequest>& queue = mServices[aService].mWaitQueue;
   while (auto waiting = queue.Pop()) {
     const auto owner = waiting->mOwner.lock();
-    if (owner == nullptr || owner->mFinished) {
+    if (owner == nullptr || owner->mFinished || owner->mPeerTransfer != 0) {
       continue;
     }
     if (SendToNextReplica(owner, waiting->mSubrequestIndex)) {
@@ -1034,9 +1323,14 @@
                       aAttempt.mIsolated,
                       SteadyNow() });
   if (mCrashChecks.insert(upstream).second) {
-    mLoop.AddTimer(SteadyNow() + kCrashCheckTime,
+    mLoop.AddTimer(SteadyNow() + kCrashCheckInterval,
                    [this, upstream] { mCrashChecks.erase(upstream); });
-    mClient.CheckListening(aReplica.mInfo.mAddress, [this, upstream] { ConfirmCrash(upstream); });
+    mClient.CheckConnection(
+      aReplica.mInfo.mAddress, kCrashCheckTimeout, [this, upstream](ConnectOutcome aOutcome) {
+        if (aOutcome == ConnectOutcome::Refused) {
+          ConfirmCrash(upstream);
+        }
+      });
   }
 }
 
@@ -1127,6 +1421,9 @@
   const auto node = mAttempts.extract(aAttemptId);
   Attempt& attempt = node.mapped();
   ReleaseAttempt(attempt);
+  if (aReply.mBytesReceived > 0) {
+    OnReached();
+  }
   const std::shared_ptr<RelayedRequest> relayed = attempt.mOwner;
   Subrequest& subrequest = relayed->mSubrequests[attempt.mSubrequestIndex];
   subrequest.mActiveAttempts.erase(aAttemptId);
@@ -1213,7 +1510,7 @@
 void
 Relay::State::FinishIfDecided(const std::shared_ptr<RelayedRequest>& aRelayed)
 {
-  if (aRelayed->mFinished) {
+  if (aRelayed->mFinished || (aRelayed->mPeerTransfer != 0 && !aRelayed->mDeadlinePassed)) {
     return;
   }
   if (aRelayed->mRoute->mTarget == RouteTarget::AllShards) {
@@ -1292,10 +1589,7 @@
 HttpResponse
 Relay::State::MakeFailureResponse(const RelayedRequest& aRelayed)
 {
-  bool mayHaveRun = false;
-  for (const Subrequest& subrequest : aRelayed.mSubrequests) {
-    mayHaveRun |= subrequest.mPossibleRuns > 0 || subrequest.mAnswered;
-  }
+  const bool mayHaveRun = MayHaveRun(aRelayed);
   const Subrequest& first = aRelayed.mSubrequests.front();
   if (aRelayed.mRoute->mTarget == RouteTarget::OneService && first.mReply.mStatus != 0 &&
       !aRelayed.mDeadlinePassed) {
@@ -1348,6 +1642,7 @@
   mOpenRequests.erase(aRelayed);
   mLoop.CancelTimer(relayed.mObjectiveTimer);
   mLoop.CancelTimer(relayed.mDeadlineTimer);
+  mClient.Cancel(relayed.mPeerTransfer);
   const TimePoint graceEnd = SteadyNow() + kLosingAttemptGrace;
   for (Subrequest& subrequest : relayed.mSubrequests) {
     mLoop.CancelTimer(subrequest.mHedgeTimer);
@@ -1377,13 +1672,15 @@
     answered += subrequest.mAnswered ? 1 : 0;
   }
   const bool late = aRelayed.mRoute != nullptr && now > aRelayed.mObjectiveAt;
-  mMetrics.CountAnswer(aRelayed.mRoute != nullptr ? aRelayed.mRoute->mName : "",
-                       ClassifyOutcome(aResponse.mStatus, answered < aRelayed.mSubrequests.size()),
-                       late,
-                       now - aRelayed.mArrivedAt);
+  const bool passedOn = !aRelayed.mTriedPeers.empty();
+  mMetrics.CountAnswer(
+    aRelayed.mRoute != nullptr ? aRelayed.mRoute->mName : "",
+    ClassifyOutcome(aResponse.mStatus, !passedOn && answered < aRelayed.mSubrequests.size()),
+    late,
+    now - aRelayed.mArrivedAt);
   const bool plainSuccess = aResponse.mStatus < kMultipleChoices && !late &&
-                            answered == aRelayed.mSubrequests.size() &&
-                            sends == aRelayed.mSubrequests.size();
+                            (passedOn || (answered == aRelayed.mSubrequests.size() &&
+                                          sends == aRelayed.mSubrequests.size()));
   if (plainSuccess && ++mPlainSuccesses % kLogSampleInterval != 0 && !LogEnabled(LogLevel::Debug)) {
     return;
   }
@@ -1399,6 +1696,7 @@
       { "missing", FormatMissingSubrequests(aRelayed) },
       { "objective_over", aRelayed.mObjectivePassed },
       { "deadline_over", aRelayed.mDeadlinePassed },
+      { "passed_on", aRelayed.mTriedPeers.size() },
       { "first", aRelayed.mRequest.mFirstOnConnection },
       { "took_ms", (now - aRelayed.mArrivedAt) / std::chrono::milliseconds(1) } });
 }
--- a/src/relay.h
+++ b/src/relay.h
@@ -58,6 +58,13 @@
   // Records a crash that another gateway saw.
   void AddStrike(const Strike& aStrike);
 
+  // Sets the function that is called when this gateway has lost or regained all replicas.
+  void SetReachabilityHandler(std::function<void()> aHandler);
+  // Whether callers should be sent to other gateways: no replica can be reached, or not for long.
+  bool ShouldAvoidCallers() const;
+  // Sets the gateways to which requests are passed on while no replica can be reached.
+  void SetPeers(std::vector<SocketAddress> aPeers);
+
   // Handles one request and responds once, possibly before returning. There is no response if the
   // caller disconnects or the process stops first.
   void Handle(HttpRequest aRequest, HttpResponder aRespond);
--- a/tests/test_fleet_registry.cpp
+++ b/tests/test_fleet_registry.cpp
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(StaleAndLeavingGatewaysAreNotNamed);
   CPPUNIT_TEST(SlowGatewaysAreNamedForThreePauses);
   CPPUNIT_TEST(CallOfAnEarlierProcessIsIgnored);
+  CPPUNIT_TEST(GatewaysWithoutReplicasAreNamedOnlyIfAllAre);
   CPPUNIT_TEST(HintFileKeepsTheLastVersion);
   CPPUNIT_TEST_SUITE_END();
 
@@ -189,6 +190,17 @@
     CPPUNIT_ASSERT(ServingGateways(registry, kStart + milliseconds(3100)).empty());
   }
 
+  void GatewaysWithoutReplicasAreNamedOnlyIfAllAre()
+  {
+    FleetHost cutOff = MakeGateway("10.0.0.1", "a");
+    cutOff.mAvoidCallers = true;
+    FleetHost sound = MakeGateway("10.0.0.2", "a");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, PreferredGateways({ &cutOff, &sound }).size());
+    CPPUNIT_ASSERT(PreferredGateways({ &cutOff, &sound }).front() == &sound);
+    sound.mAvoidCallers = true;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, PreferredGateways({ &cutOff, &sound }).size());
+  }
+
   void CallOfAnEarlierProcessIsIgnored()
   {
     FleetRegistry registry = MakeRegistry("c1");
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -2,6 +2,7 @@
 // that run twice, refusals of requests that may have run, and work for callers that have
 // disconnected.
 #include "log.h"
+#include "reachability.h"
 #include "relay.h"
 #include "socket_address.h"
 #include "test_address.h"
@@ -271,7 +272,7 @@
 
 // Opens a non-blocking listening socket.
 int
-OpenListener(const SocketAddress& aAddress)
+OpenListener(const SocketAddress& aAddress, int aBacklog = 8)
 {
   const auto native = ToNative(aAddress);
   CPPUNIT_ASSERT(native.has_value());
@@ -279,7 +280,7 @@
   const int on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   CPPUNIT_ASSERT_EQUAL(0, bind(fd, native->Raw(), native->mLength));
-  CPPUNIT_ASSERT_EQUAL(0, listen(fd, 8));
+  CPPUNIT_ASSERT_EQUAL(0, listen(fd, aBacklog));
   return fd;
 }
 
@@ -368,6 +369,63 @@
   std::size_t mCrashCount = 0;
 };
 
+// Address at which connections hang, as behind a partition: nobody accepts them, and the queue of
+// the kernel is full. The first aTaken connections are established and stay silent.
+class SilentAddress
+{
+public:
+  SilentAddress(const SocketAddress& aAddress, bool aTakesFirst)
+    : mListener(OpenListener(aAddress, 0))
+  {
+    for (int i = aTakesFirst ? 1 : 0; i < kQueueLength; ++i) {
+      const auto native = ToNative(aAddress);
+      const int fd = socket(native->mStorage.ss_family, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(fd, native->Raw(), native->mLength);
+      mFillers.push_back(fd);
+    }
+  }
+  ~SilentAddress()
+  {
+    for (const int fd : mFillers) {
+      close(fd);
+    }
+    close(mListener);
+  }
+  SilentAddress(const SilentAddress&) = delete;
+  SilentAddress& operator=(const SilentAddress&) = delete;
+
+private:
+  // Connections that the kernel establishes for a backlog of 0.
+  static constexpr int kQueueLength = 1;
+
+  int mListener;
+  std::vector<int> mFillers;
+};
+
+// A gateway to which the tested one can pass requests on.
+class PeerGateway
+{
+public:
+  explicit PeerGateway(RelayFixture& aFixture)
+  {
+    auto server = HttpServer::Builder(aFixture.EventLoop(), kAddress)
+                    .PreserveRawRequest()
+                    .OnRequest([this](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+                      mReceived.push_back(aRequest);
+                      aRespond(SignedResponse(aRequest, 200, "from the peer", "s1"));
+                    })
+                    .Start();
+    CPPUNIT_ASSERT_MESSAGE(server ? "" : server.error().mMessage, server.has_value());
+    mServer = *std::move(server);
+  }
+
+  inline static const SocketAddress kAddress{ kReplicaIp, kFirstReplicaPort + 60 };
+  std::vector<HttpRequest> mReceived;
+
+private:
+  std::unique_ptr<HttpServer> mServer;
+};
+
 // Replicas that crash on some requests, of all services of one route.
 class CrashingFleet
 {
@@ -464,6 +522,12 @@
   CPPUNIT_TEST(RequestThatCrashesReplicasAtOtherGatewaysIsStopped);
   CPPUNIT_TEST(RequestLostInUnrelatedCrashesIsServed);
   CPPUNIT_TEST(LostConnectionsAloneStopNothing);
+  CPPUNIT_TEST(GatewayWithoutReplicasPassesRequestsOn);
+  CPPUNIT_TEST(RequestIsPassedOnOnce);
+  CPPUNIT_TEST(GatewayWithoutReplicasAndPeersRefusesAtOnce);
+  CPPUNIT_TEST(RequestThatMayHaveRunIsNotPassedOn);
+  CPPUNIT_TEST(GatewayUsesReplicasThatReturn);
+  CPPUNIT_TEST(SlowReplicasAreNotTakenForUnreachable);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -1217,6 +1281,125 @@
     fixture.EventLoop().RemoveFd(listener);
     close(listener);
   }
+
+  // Time in which a gateway notices that it reaches no replica, with room for a busy host.
+  static constexpr milliseconds kNoticeTime{ 1500 };
+
+  static Route PatientRoute(bool aRepeatable)
+  {
+    Route route = SingleServiceRoute(aRepeatable);
+    route.mTimeout = seconds(3);
+    return route;
+  }
+
+  void GatewayWithoutReplicasPassesRequestsOn()
+  {
+    RelayFixture fixture;
+    PeerGateway peer(fixture);
+    std::vector<std::unique_ptr<SilentAddress>> silent;
+    for (int i = 0; i < 3; ++i) {
+      silent.push_back(std::make_unique<SilentAddress>(
+        fixture.AddReplicaWithoutServer("s").mInfo.mAddress, false));
+    }
+    Relay& relay = fixture.TestedRelay();
+    relay.SetReachabilityHandler([&relay] { relay.SetPeers({ PeerGateway::kAddress }); });
+    fixture.Publish(PatientRoute(true));
+    const TimePoint start = SteadyNow();
+    // In flight when the gateway notices.
+    CPPUNIT_ASSERT_EQUAL(std::string("from the peer"), fixture.Get("/first").mBody);
+    CPPUNIT_ASSERT(SteadyNow() - start < kNoticeTime);
+    CPPUNIT_ASSERT(relay.ShouldAvoidCallers());
+    const TimePoint later = SteadyNow();
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/second").mStatus);
+    CPPUNIT_ASSERT(SteadyNow() - later < kSuspiciousSilence);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, peer.mReceived.size());
+    CPPUNIT_ASSERT_EQUAL(std::string_view("id-1"), peer.mReceived[1].Header("x-id"));
+    CPPUNIT_ASSERT_EQUAL(std::string("/second"), peer.mReceived[1].mTarget);
+  }
+
+  void RequestIsPassedOnOnce()
+  {
+    RelayFixture fixture;
+    PeerGateway peer(fixture);
+    const SilentAddress silent(fixture.AddReplicaWithoutServer("s").mInfo.mAddress, false);
+    Relay& relay = fixture.TestedRelay();
+    relay.SetReachabilityHandler([&relay] { relay.SetPeers({ PeerGateway::kAddress }); });
+    fixture.Publish(PatientRoute(true));
+    fixture.Get("/first");
+    ClientRequest request;
+    request.mMethod = "GET";
+    for (const HttpHeader& header : peer.mReceived.at(0).mRawHeaders) {
+      if (header.mName != "Host" && header.mName != "X-Id") {
+        request.mHeaders.push_back(header);
+      }
+    }
+    const ClientReply reply = fixture.Send(request);
+    CPPUNIT_ASSERT_EQUAL(503, reply.mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, peer.mReceived.size());
+  }
+
+  void GatewayWithoutReplicasAndPeersRefusesAtOnce()
+  {
+    RelayFixture fixture;
+    const SilentAddress silent(fixture.AddReplicaWithoutServer("s").mInfo.mAddress, false);
+    fixture.Publish(PatientRoute(true));
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/first").mStatus);
+    CPPUNIT_ASSERT(fixture.TestedRelay().ShouldAvoidCallers());
+    const TimePoint start = SteadyNow();
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/second").mStatus);
+    CPPUNIT_ASSERT(SteadyNow() - start < kSuspiciousSilence);
+  }
+
+  void RequestThatMayHaveRunIsNotPassedOn()
+  {
+    RelayFixture fixture;
+    PeerGateway peer(fixture);
+    const SilentAddress silent(fixture.AddReplicaWithoutServer("s").mInfo.mAddress, true);
+    Relay& relay = fixture.TestedRelay();
+    relay.SetReachabilityHandler([&relay] { relay.SetPeers({ PeerGateway::kAddress }); });
+    fixture.Publish(PatientRoute(false));
+    CPPUNIT_ASSERT_EQUAL(504, fixture.Get("/first").mStatus);
+    CPPUNIT_ASSERT(relay.ShouldAvoidCallers());
+    CPPUNIT_ASSERT(peer.mReceived.empty());
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/second").mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, peer.mReceived.size());
+  }
+
+  void GatewayUsesReplicasThatReturn()
+  {
+    RelayFixture fixture;
+    PeerGateway peer(fixture);
+    FakeReplica& replica = fixture.AddReplicaWithoutServer("s");
+    auto silent = std::make_unique<SilentAddress>(replica.mInfo.mAddress, false);
+    Relay& relay = fixture.TestedRelay();
+    relay.SetReachabilityHandler([&relay] { relay.SetPeers({ PeerGateway::kAddress }); });
+    fixture.Publish(PatientRoute(true));
+    fixture.Get("/first");
+    silent.reset();
+    const CrashingServer server(
+      fixture.EventLoop(), replica.mInfo.mAddress, [](const std::string&) { return false; });
+    const TimePoint noticedBy = SteadyNow() + kNoticeTime + kMinStableTime;
+    fixture.EventLoop().AddTimer(noticedBy, [&fixture] { fixture.EventLoop().Stop(); });
+    fixture.EventLoop().Run();
+    CPPUNIT_ASSERT(!relay.ShouldAvoidCallers());
+    const std::size_t passedOn = peer.mReceived.size();
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/again").mStatus);
+    CPPUNIT_ASSERT_EQUAL(passedOn, peer.mReceived.size());
+  }
+
+  void SlowReplicasAreNotTakenForUnreachable()
+  {
+    RelayFixture fixture;
+    std::vector<HttpResponder> pending;
+    for (int i = 0; i < 3; ++i) {
+      fixture.AddReplica("s", NeverRespond(pending));
+    }
+    bool changed = false;
+    fixture.TestedRelay().SetReachabilityHandler([&changed] { changed = true; });
+    fixture.Publish(PatientRoute(true));
+    CPPUNIT_ASSERT_EQUAL(504, fixture.Get("/slow").mStatus);
+    CPPUNIT_ASSERT(!changed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
