Reject announcements and documents with values out of range

What operators of similar systems saw: one odd entry made the hosts that read the list end, or stop following it.

Cause here: the adapter checked the type of a field and not its range. 2^32 slots became 0, a start time or sequence near 2^64 outranked all later announcements, max_attempts of 2^32 became 0, and an id that is not UTF-8 got into records that travel as protobuf strings.

Ruled out, with tests: deep nesting and ports out of range do no harm.

Change: every whole number is checked against its target's range or a stated bound, times and names are bounded, ids must be printable ASCII.

That a record which is not UTF-8 stops its receivers is concluded from protobuf's rules, not from a run.

--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -1,6 +1,8 @@
 // Guards against heartbeats, documents and calls of the platform that are decoded wrongly.
 #include "wire.h"
 
+#include <limits>
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
@@ -55,6 +57,10 @@
   CPPUNIT_TEST_SUITE(PlatformWireTest);
   CPPUNIT_TEST(DecodesHeartbeat);
   CPPUNIT_TEST(RejectsMalformedHeartbeats);
+  CPPUNIT_TEST(NumbersOutOfRangeNameNoReplica);
+  CPPUNIT_TEST(UnreadableOrLongNamesNameNoReplica);
+  CPPUNIT_TEST(DeeplyNestedBodiesAreRejected);
+  CPPUNIT_TEST(NumbersOutOfRangeInvalidateDocuments);
   CPPUNIT_TEST(DecodesLeave);
   CPPUNIT_TEST(DecodesCallKinds);
   CPPUNIT_TEST(DecodesDocument);
@@ -105,6 +111,89 @@
     CPPUNIT_ASSERT(!DecodeCall(MakeRequest("PUT", "/instances/", MakeHeartbeat().dump())));
   }
 
+  void NumbersOutOfRangeNameNoReplica()
+  {
+    constexpr std::uint64_t kLargest = std::numeric_limits<std::uint64_t>::max();
+    const std::vector<std::pair<std::string, Json>> changes = {
+      { "slots", std::uint64_t{ 1 } << 32U },
+      { "slots", kLargest },
+      { "sequence", kLargest },
+      { "born", kLargest },
+      { "born", kLargest / 2 },
+      { "address", "10.0.0.9:65536" },
+      { "address", "10.0.0.9:4294975376" },
+      { "address", "10.0.0.9:-1" },
+      { "address", "10.0.0.9:0" },
+    };
+    for (const auto& [name, value] : changes) {
+      Json heartbeat = MakeHeartbeat();
+      heartbeat[name] = value;
+      CPPUNIT_ASSERT_MESSAGE(name + " " + value.dump(),
+                             !DecodeCall(MakeRequest("PUT", "/instances/i-1", heartbeat.dump())));
+    }
+    for (const char* const number : { "1e400", "123456789012345678901234567890" }) {
+      const std::string body = MakeHeartbeat().dump().replace(
+        MakeHeartbeat().dump().find(":5"), 2, ":" + std::string(number));
+      CPPUNIT_ASSERT_MESSAGE(body, !DecodeCall(MakeRequest("PUT", "/instances/i-1", body)));
+    }
+    CPPUNIT_ASSERT(
+      !DecodeCall(MakeRequest("DELETE", "/instances/i-1", Json{ { "born", kLargest } }.dump())));
+  }
+
+  // Records of upstreams are sent as protobuf strings, of which one that is not UTF-8, or many that
+  // are long, make the whole message unreadable.
+  void UnreadableOrLongNamesNameNoReplica()
+  {
+    const std::string body = MakeHeartbeat().dump();
+    const std::string longName(300, 'x');
+    for (const std::string& id : { std::string("\xff\xfe"), std::string("a b"), longName }) {
+      CPPUNIT_ASSERT(!DecodeCall(MakeRequest("PUT", "/instances/" + id, body)));
+      CPPUNIT_ASSERT(!DecodeCall(MakeRequest("DELETE", "/instances/" + id)));
+    }
+    for (const char* const name : { "service", "zone" }) {
+      Json heartbeat = MakeHeartbeat();
+      heartbeat[name] = longName;
+      CPPUNIT_ASSERT(!DecodeCall(MakeRequest("PUT", "/instances/i-1", heartbeat.dump())));
+    }
+  }
+
+  void DeeplyNestedBodiesAreRejected()
+  {
+    constexpr std::size_t kDepth = 500'000;
+    std::string objects;
+    for (std::size_t i = 0; i < kDepth; ++i) {
+      objects += "{\"a\":";
+    }
+    const std::string lists = std::string(kDepth, '[') + std::string(kDepth, ']');
+    std::string field = MakeHeartbeat().dump();
+    field.back() = ',';
+    for (const std::string& body :
+         { std::string(kDepth, '['), lists, objects, objects + "1" + std::string(kDepth, '}') }) {
+      CPPUNIT_ASSERT(!DecodeCall(MakeRequest("PUT", "/instances/i-1", body)));
+      CPPUNIT_ASSERT(!DecodeDocument(body));
+    }
+    // Unknown fields are ignored, whatever they hold.
+    CPPUNIT_ASSERT(
+      DecodeCall(MakeRequest("PUT", "/instances/i-1", field + "\"other\":" + lists + "}")));
+  }
+
+  void NumbersOutOfRangeInvalidateDocuments()
+  {
+    const std::vector<std::pair<std::string, Json>> changes = {
+      { "/routes/0/max_attempts", std::uint64_t{ 1 } << 32U },
+      { "/routes/0/priority", std::uint64_t{ 1 } << 40U },
+      { "/routes/0/timeout_ms", 1e300 },
+      { "/routes/0/target_latency_ms", -1e300 },
+      { "/services/0/max_connections", std::uint64_t{ 1 } << 32U },
+      { "/limits/idle_timeout_ms", 1e30 },
+    };
+    for (const auto& [path, value] : changes) {
+      Json document = MakeDocument();
+      document[Json::json_pointer(path)] = value;
+      CPPUNIT_ASSERT_MESSAGE(path, !DecodeDocument(document.dump()));
+    }
+  }
+
   void DecodesLeave()
   {
     const auto withoutBody = DecodeCall(MakeRequest("DELETE", "/instances/i-1"));
