Test the exchange of crashes, and spare replicas after a request was passed on

Cause: the coordinator's part of the exchange of crashes had no test, and a hedge could be sent for a request that another gateway handles, if replicas returned meanwhile. Found by reading; no run showed the second.

Change: the exchange is a pure function with a test that plays three gateways and two coordinators, restarts of both included. Hedges leave requests alone that were passed on.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "coordinator.h"
 
 #include "cmdline.h"
+#include "crash_exchange.h"
 #include "discovery_node.h"
 #include "document_state.h"
 #include "fleet.grpc.pb.h"
@@ -14,7 +15,6 @@
 #include "loop_calls.h"
 #include "metrics_page.h"
 #include "raft_node.h"
-#include "strike_log.h"
 
 #include <algorithm>
 #include <set>
@@ -133,7 +133,7 @@
   // Names gateways to which a gateway that reaches no replica can pass requests on.
   void FillPeers(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const;
   // Takes the crashes that a gateway reports and adds those that it lacks to the reply.
-  void ExchangeCrashes(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply);
+  void PassCrashesOn(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply);
   std::vector<GatewayCandidate> ListCandidates(TimePoint aNow) const;
   void UpdateSubset();
   void RestoreUpstreams();
@@ -578,7 +578,7 @@
   reply.set_cursor(changes.mCursor);
   reply.set_more_records(changes.mMore);
   FillHosts(reply, now);
-  ExchangeCrashes(aRequest, reply);
+  PassCrashesOn(aRequest, reply);
   FillPeers(aRequest, reply);
   reply.set_active_gateways(static_cast<std::uint32_t>(mActiveGateways));
   reply.set_active(IsActive(mSubset, aRequest.self().ip()));
@@ -649,31 +649,22 @@
 }
 
 void
-Coordinator::ExchangeCrashes(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply)
+Coordinator::PassCrashesOn(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply)
 {
   if (aRequest.self().coordinator()) {
     return;
   }
-  for (const rpc::UpstreamCrash& message : aRequest.crashes()) {
-    const auto strike = FromMessage(message);
-    if (!strike) {
-      LogEvent(Event::AnnouncementRejected, { { "reason", strike.error().mMessage } });
-    } else if (Append(mStrikes, *strike, SteadyNow())) {
-      LogEvent(Event::UpstreamCrashed,
-               { { "upstream", strike->mUpstream },
-                 { "fingerprint", fmt::format("{:016x}", strike->mFingerprint) },
-                 { "host", strike->mHost } });
-    }
+  const CrashExchange exchange =
+    ExchangeCrashes(mStrikes, aRequest, mSelf.mIncarnation, SteadyNow(), aReply);
+  for (const std::string& problem : exchange.mProblems) {
+    LogEvent(Event::AnnouncementRejected, { { "reason", problem } });
   }
-  const bool sameIncarnation = aRequest.cursor_incarnation() == mSelf.mIncarnation;
-  std::uint64_t cursor = sameIncarnation ? aRequest.crash_cursor() : 0;
-  for (const LoggedStrike* const logged : StrikesAfter(mStrikes, cursor)) {
-    cursor = logged->mNumber;
-    if (logged->mStrike.mHost != aRequest.self().ip()) {
-      ToMessage(logged->mStrike, *aReply.add_crashes());
-    }
+  for (const Strike& strike : exchange.mNew) {
+    LogEvent(Event::UpstreamCrashed,
+             { { "upstream", strike.mUpstream },
+               { "fingerprint", fmt::format("{:016x}", strike.mFingerprint) },
+               { "host", strike.mHost } });
   }
-  aReply.set_crash_cursor(cursor);
 }
 
 void
--- a/src/reachability.h
+++ b/src/reachability.h
@@ -15,8 +15,8 @@
 
 // Silence after which connections are checked. Longer than the pauses of a replica.
 inline constexpr Duration kSuspiciousSilence = std::chrono::milliseconds(300);
-// Replicas that must have been silent, or all if fewer are known: one request may be slow, and it is
-// sent to a second replica long before kSuspiciousSilence.
+// Replicas that must have been silent, or all if fewer are known: one request may be slow, and it
+// is sent to a second replica long before kSuspiciousSilence.
 inline constexpr std::size_t kSuspiciousReplicas = 2;
 // Replicas to which one check opens connections.
 inline constexpr std::size_t kCheckedReplicas = 5;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1230,8 +1230,8 @@
 Relay::State::OnHedgeTimer(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex)
 {
   const Subrequest& subrequest = aRelayed->mSubrequests[aIndex];
-  if (!aRelayed->mFinished && !subrequest.mAnswered && !subrequest.mFailed &&
-      subrequest.mPossibleRuns < aRelayed->mRoute->mMaxAttempts) {
+  if (!aRelayed->mFinished && aRelayed->mPeerTransfer == 0 && !subrequest.mAnswered &&
+      !subrequest.mFailed && subrequest.mPossibleRuns < aRelayed->mRoute->mMaxAttempts) {
     TryResend(aRelayed, aIndex, ExtraSend::Hedge);
   }
 }
