Count the time of a suspension in all leases, deadlines and ages

Cause: every time came from std::chrono::steady_clock, which is CLOCK_MONOTONIC and stands still during a suspension. The followers' promises ended by their clocks, the rest of the lease was still valid on the leader's.

Evidence: two new events tell the hypotheses apart. ProcessSuspended shows 7700 ms between the kernel's two clocks at 10.72 s; DocumentRead shows that the answers come from the old leader itself in its old term. Ruled out: replies in its sockets that renew the lease (they echo the send time of the request), and reads that began before the suspension.

Change: TimePoint belongs to BootClock, which reads CLOCK_BOOTTIME. On related paths: a leader counts as known only as long as its last contact allows at the time of the call (a member told gateways that start that its document is current until its next timer), and ages in replies of coordinators count from the send time of the request. No message and no stored record changes; beside a member with the old clock promises only last longer.

Tests: LoopTest::ClockCountsSuspension, LoopTest::SuspensionIsLogged, RaftNodeTest::SuspendedLeaderRefusesReads, RaftNodeTest::SuspendedFollowerKnowsNoLeader and FleetClientTest::AgeOfReplyIncludesSuspension failed with CLOCK_MONOTONIC in BootClock::now (5 of 5) and pass with CLOCK_BOOTTIME.

--- a/src/control_server.cpp
+++ b/src/control_server.cpp
@@ -7,6 +7,7 @@
 #include "log.h"
 #include "loop_calls.h"
 #include "raft_node.h"
+#include "suspension.h"
 
 #include <thread>
 
@@ -206,6 +207,7 @@
     }
   }
   if (startError.empty()) {
+    ReportSuspensions(loop);
     LogEvent(Event::ProcessStarted,
              { { "host", aSettings.mHost }, { "revision", NewestRevision(core.State()) } });
     loop.Run();
--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -15,6 +15,7 @@
 #include "loop_calls.h"
 #include "metrics_page.h"
 #include "raft_node.h"
+#include "suspension.h"
 
 #include <algorithm>
 #include <set>
@@ -140,7 +141,7 @@
   void SaveUpstreams();
 
   void OnDocumentStored();
-  void OnSyncReply(const std::string& aIp, const rpc::FleetSyncReply& aReply);
+  void OnSyncReply(const std::string& aIp, const rpc::FleetSyncReply& aReply, TimePoint aSentAt);
   std::set<std::string> LeavingCoordinators(TimePoint aNow) const;
   void UpdateMembership();
   void RequestToJoin();
@@ -306,8 +307,10 @@
   client.mRpcPort = static_cast<std::uint16_t>(mSettings.mRpcPort);
   client.mSecurity = mSettings.mSecurity;
   mClient = std::make_unique<FleetClient>(
-    mLoop, client, [this](const std::string& aIp, const rpc::FleetSyncReply& aReply) {
-      OnSyncReply(aIp, aReply);
+    mLoop,
+    client,
+    [this](const std::string& aIp, const rpc::FleetSyncReply& aReply, TimePoint aSentAt) {
+      OnSyncReply(aIp, aReply, aSentAt);
     });
   mClient->SetLocalHost(mSelf);
   AddSeeds(mSettings.mSeeds);
@@ -352,9 +355,10 @@
 }
 
 void
-Coordinator::OnSyncReply(const std::string& aIp, const rpc::FleetSyncReply& aReply)
+Coordinator::OnSyncReply(const std::string& aIp,
+                         const rpc::FleetSyncReply& aReply,
+                         TimePoint aSentAt)
 {
-  const TimePoint now = SteadyNow();
   for (const rpc::Record& message : aReply.records()) {
     auto record = FromMessage(message);
     if (!record) {
@@ -362,15 +366,15 @@
                { { "coordinator", aIp }, { "reason", record.error().mMessage } });
       continue;
     }
-    ApplyRemoteRecord(mRegistry, *record, std::chrono::milliseconds(message.idle_ms()), now);
+    ApplyRemoteRecord(mRegistry, *record, std::chrono::milliseconds(message.idle_ms()), aSentAt);
   }
-  ConfirmRegistrar(mRegistry.mDirectory, aIp, aReply.self().incarnation(), now);
+  ConfirmRegistrar(mRegistry.mDirectory, aIp, aReply.self().incarnation(), aSentAt);
   ActiveCounts counts;
   for (const rpc::ActiveGateways& active : aReply.active_by_data_centre()) {
     counts[active.data_centre()] = active.count();
   }
-  mRemoteActiveCounts[aIp] = { std::move(counts), now };
-  mRegistry.mLastSyncs[aIp] = { aReply.self().incarnation(), now };
+  mRemoteActiveCounts[aIp] = { std::move(counts), aSentAt };
+  mRegistry.mLastSyncs[aIp] = { aReply.self().incarnation(), aSentAt };
   for (const rpc::FleetHost& host : aReply.coordinators()) {
     if (host.ip() != mSelf.mIp) {
       mClient->AddCoordinator(host.ip(), host.data_centre());
@@ -822,6 +826,12 @@
 Coordinator::HandleReadDocument(const HttpResponder& aRespond)
 {
   mLog->ReadBarrier([this, aRespond](const Expected<void>& aResult) {
+    const LogStatus status = mLog->Status();
+    LogEvent(Event::DocumentRead,
+             { { "version", mState.Current().mVersion },
+               { "term", status.mTerm },
+               { "leading", status.mLeading },
+               { "result", aResult ? "ok" : aResult.error().mMessage } });
     if (!aResult || mState.Current().mVersion == 0) {
       aRespond(
         UnavailableResponse(aResult ? "there is no document yet" : aResult.error().mMessage));
@@ -1044,6 +1054,7 @@
   }
   if (startError.empty()) {
     LogEvent(Event::ProcessStarted, { { "host", aSettings.mHost } });
+    ReportSuspensions(loop);
     fleet.StartWhenAllowed();
     loop.Run();
     if (!shutdownThread.joinable()) {
--- a/src/entry_server.cpp
+++ b/src/entry_server.cpp
@@ -10,6 +10,7 @@
 #include "loop.h"
 #include "metrics.h"
 #include "query_path.h"
+#include "suspension.h"
 
 #include <deque>
 
@@ -206,6 +207,7 @@
   mControl.OnViewChanged([this] { AdoptView(); });
   mQueryPath.SetHooks(MakeQueryHooks());
   mLoop.AddPeriodic(kMayServeInterval, [this] { mDiscovery.SetMayServe(mControl.MayServe()); });
+  ReportSuspensions(mLoop);
   LogEvent(Event::ProcessStarted,
            { { "host", mSettings.mHost },
              { "address", FormatSocketAddress(mSettings.mAddress) },
--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -102,7 +102,7 @@
 class CoordinatorLink
 {
 public:
-  using DeliverFunction = std::function<bool(rpc::FleetSyncReply)>;
+  using DeliverFunction = std::function<bool(rpc::FleetSyncReply, TimePoint)>;
 
   CoordinatorLink(SharedState& aShared,
                   std::string aAddress,
@@ -230,6 +230,7 @@
   {
     const rpc::FleetSyncRequest request = NextRequest();
     rpc::FleetSyncReply reply;
+    const TimePoint sentAt = SteadyNow();
     const grpc::Status status = CallWithDeadline(
       [&](grpc::ClientContext& aContext) { return mStub->Sync(&aContext, request, &reply); });
     if (!status.ok()) {
@@ -257,7 +258,7 @@
     const std::uint64_t incarnation = reply.self().incarnation();
     // If the loop does not accept the reply, the cursor stays, and the next call requests the same
     // changes again.
-    if (mDeliver(std::move(reply))) {
+    if (mDeliver(std::move(reply), sentAt)) {
       if (mCursorIncarnation != incarnation) {
         mAllCursor = 0;
       }
@@ -551,15 +552,15 @@
     link->LearnDataCentre(aDataCentre);
     return;
   }
-  const auto deliver =
-    [weak = mState->weak_from_this(), loop = &mState->mLoop, aIp](rpc::FleetSyncReply aReply) {
-      const auto shared = std::make_shared<rpc::FleetSyncReply>(std::move(aReply));
-      return loop->Post([weak, aIp, shared] {
-        if (const auto state = weak.lock()) {
-          state->mOnReply(aIp, *shared);
-        }
-      });
-    };
+  const auto deliver = [weak = mState->weak_from_this(), loop = &mState->mLoop, aIp](
+                         rpc::FleetSyncReply aReply, TimePoint aSentAt) {
+    const auto shared = std::make_shared<rpc::FleetSyncReply>(std::move(aReply));
+    return loop->Post([weak, aIp, shared, aSentAt] {
+      if (const auto state = weak.lock()) {
+        state->mOnReply(aIp, *shared, aSentAt);
+      }
+    });
+  };
   link = std::make_unique<CoordinatorLink>(mState->mShared,
                                            FormatSocketAddress({ aIp, mState->mSettings.mRpcPort }),
                                            aDataCentre,
--- a/src/fleet_client.h
+++ b/src/fleet_client.h
@@ -40,8 +40,10 @@
 class FleetClient
 {
 public:
-  // Receives the IP address of a coordinator and its reply.
-  using ReplyHandler = std::function<void(const std::string&, const rpc::FleetSyncReply&)>;
+  // Receives the IP address of a coordinator, its reply, and when the request was sent. Ages in the
+  // reply count from then, because the machine may have been suspended before the reply was read.
+  using ReplyHandler =
+    std::function<void(const std::string&, const rpc::FleetSyncReply&, TimePoint)>;
 
   // aOnReply is called on the loop's thread for each reply.
   FleetClient(Loop& aLoop, FleetClientSettings aSettings, ReplyHandler aOnReply);
--- a/src/fleet_registry.h
+++ b/src/fleet_registry.h
@@ -47,7 +47,7 @@
 };
 
 // The last reply that this coordinator applied from another one: the incarnation of the sender, and
-// when the reply was applied.
+// when the reply was requested.
 struct LastSync
 {
   std::uint64_t mIncarnation = 0;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -10,6 +10,7 @@
 #include "metrics_page.h"
 #include "relay.h"
 #include "strike_log.h"
+#include "suspension.h"
 
 #include <algorithm>
 
@@ -91,7 +92,7 @@
 
   Expected<void> Listen();
   Expected<void> ListenForMetrics();
-  void OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply);
+  void OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply, TimePoint aSentAt);
   void ApplySubset(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void ReportLoad();
   // Learns of crashes that other gateways saw.
@@ -202,8 +203,10 @@
   clientSettings.mFetchDocuments = true;
   clientSettings.mDataCentre = mSettings.mDataCentre;
   mClient = std::make_unique<FleetClient>(
-    mLoop, clientSettings, [this](const std::string& aIp, const rpc::FleetSyncReply& aReply) {
-      OnSync(aIp, aReply);
+    mLoop,
+    clientSettings,
+    [this](const std::string& aIp, const rpc::FleetSyncReply& aReply, TimePoint aSentAt) {
+      OnSync(aIp, aReply, aSentAt);
     });
   mClient->SetLocalHost(mSelf);
   AddSeeds(mSettings.mSeeds);
@@ -300,7 +303,7 @@
 }
 
 void
-Gateway::OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply)
+Gateway::OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply, TimePoint aSentAt)
 {
   const TimePoint now = SteadyNow();
   if (mLastCoordinatorReplyAt + kCoordinatorSilence < now) {
@@ -316,14 +319,16 @@
       continue;
     }
     const Duration idle = std::chrono::milliseconds(message.idle_ms());
-    changed |= ApplyRecord(mDirectory, *record, idle, now) == AnnounceOutcome::Changed;
+    changed |= ApplyRecord(mDirectory, *record, idle, aSentAt) == AnnounceOutcome::Changed;
   }
-  ConfirmRegistrar(mDirectory, aIp, aReply.self().incarnation(), now);
+  ConfirmRegistrar(mDirectory, aIp, aReply.self().incarnation(), aSentAt);
   for (const rpc::FleetHost& host : aReply.coordinators()) {
     mClient->AddCoordinator(host.ip(), host.data_centre());
     if (host.idle_ms() >= 0) {
-      ConfirmRegistrar(
-        mDirectory, host.ip(), host.incarnation(), now - std::chrono::milliseconds(host.idle_ms()));
+      ConfirmRegistrar(mDirectory,
+                       host.ip(),
+                       host.incarnation(),
+                       aSentAt - std::chrono::milliseconds(host.idle_ms()));
     }
   }
   ApplyCrashes(aReply);
@@ -623,6 +628,7 @@
   const auto started = gateway.Start();
   if (started) {
     LogEvent(Event::ProcessStarted, { { "host", aSettings.mHost } });
+    ReportSuspensions(loop);
     loop.Run();
     LogEvent(Event::ProcessStopped, { { "host", aSettings.mHost } });
   } else {
--- a/src/loop.h
+++ b/src/loop.h
@@ -17,8 +17,7 @@
 
 using TimerId = std::uint64_t;
 
-// Returns the current time of the steady clock, truncated to the resolution of TimePoint.
-// Thread-safe.
+// Returns the current time of the boot clock. Thread-safe.
 TimePoint
 SteadyNow();
 
@@ -45,7 +44,8 @@
   void ModifyFd(int aFd, std::uint32_t aEvents);
   void RemoveFd(int aFd);
   void AddPrepare(PrepareHandler aHandler);
-  // Calls aTask once, as soon as aWhen has passed.
+  // Calls aTask once, as soon as aWhen has passed. If aWhen passes while the machine is suspended,
+  // the call may come up to one second after it resumes.
   TimerId AddTimer(TimePoint aWhen, Task aTask);
   // Ignores timers that have run or were cancelled.
   void CancelTimer(TimerId aTimer);
--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -14,6 +14,9 @@
 // Maximum number of voters in a control group, from section 2 of the design page.
 constexpr std::size_t kMaxVoters = 7;
 
+// An election timeout is drawn from one to this many times RaftSettings::mElectionTimeout.
+constexpr int kMaxElectionTimeouts = 2;
+
 const std::vector<std::string> kRoleNames = { "learner",   "follower", "pre_candidate",
                                               "candidate", "leader",   "removed" };
 const std::vector<std::string> kEventNames = { "election_timeout", "pre_vote_won", "election_won",
@@ -951,7 +954,7 @@
     case RaftRole::Learner:
     case RaftRole::Removed:
       // As long as a follower may follow a lost leader.
-      if (aNow >= aRaft.mLastLeaderContact + 2 * aRaft.mSettings.mElectionTimeout) {
+      if (RaftKnownLeader(aRaft, aNow).empty()) {
         aRaft.mLeader.clear();
       }
       return;
@@ -1154,6 +1157,16 @@
   return aNow < quorumAck + lease;
 }
 
+std::string
+RaftKnownLeader(const Raft& aRaft, TimePoint aNow)
+{
+  const bool known =
+    aRaft.mRole == RaftRole::Leader
+      ? RaftLeading(aRaft, aNow)
+      : aNow < aRaft.mLastLeaderContact + kMaxElectionTimeouts * aRaft.mSettings.mElectionTimeout;
+  return known ? aRaft.mLeader : std::string();
+}
+
 bool
 RaftCommitsWithoutSelf(const Raft& aRaft, TimePoint aNow)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -330,6 +330,12 @@
 bool
 RaftLeading(const Raft& aRaft, TimePoint aNow);
 
+// The identity of the leader that this member follows, or its own while it leads. Empty once the
+// leader has been silent for longer than a follower waits before it campaigns, even if RaftTick has
+// not noticed yet.
+std::string
+RaftKnownLeader(const Raft& aRaft, TimePoint aNow);
+
 // True if the other voters that answered this leader within an election timeout are a majority, so
 // that entries are committed although this member has not synced them.
 bool
--- a/src/raft_member.cpp
+++ b/src/raft_member.cpp
@@ -408,7 +408,7 @@
   LogStatus status;
   status.mSelf = mSettings.mRaft.mSelf;
   status.mLeading = RaftLeading(mRaft, aNow);
-  status.mLeader = mRaft.mLeader;
+  status.mLeader = RaftKnownLeader(mRaft, aNow);
   status.mTerm = mRaft.mVoteState.mTerm;
   status.mLastIndex = RaftLastIndex(mRaft);
   status.mCommitted = mRaft.mCommitIndex;
--- a/src/types.h
+++ b/src/types.h
@@ -15,10 +15,25 @@
 
 namespace apricotyard {
 
-// The current time is passed to every decision as an argument. The steady clock is used throughout,
-// so that changes of the wall clock cannot shorten or extend a lease.
 using Duration = std::chrono::microseconds;
-using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+// A steady clock that also counts the time during which the machine is suspended, unlike
+// std::chrono::steady_clock on Linux.
+struct BootClock
+{
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  // Thread-safe.
+  static time_point now();
+};
+
+// The current time is passed to every decision as an argument. The boot clock is used throughout,
+// so that neither changes of the wall clock nor a suspension can shorten or extend a lease.
+using TimePoint = BootClock::time_point;
 
 // The random source passed to decisions. The C++ standard defines its sequence, so a seed gives the
 // same decisions on every platform.
--- a/tests/test_fleet_client.cpp
+++ b/tests/test_fleet_client.cpp
@@ -3,9 +3,11 @@
 #include "fleet.grpc.pb.h"
 #include "fleet_client.h"
 #include "settings.h"
+#include "simulated_suspension.h"
 #include "test_address.h"
 
 #include <atomic>
+#include <optional>
 #include <thread>
 
 #include <absl/synchronization/notification.h>
@@ -42,6 +44,7 @@
                     rpc::FleetSyncReply* aReply) override
   {
     if (mAnswers.fetch_sub(1) <= 0) {
+      mBlocked = true;
       mReleased.WaitForNotification();
     }
     ++mCalls;
@@ -57,6 +60,14 @@
   }
 
   void Release() { mReleased.Notify(); }
+  // Returns false if no call is blocked within two seconds.
+  bool AwaitCall() const
+  {
+    for (int i = 0; i < 200 && !mBlocked; ++i) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return mBlocked;
+  }
   // Blocks the calls from now on.
   void Block() { mAnswers = 0; }
   int Calls() const { return mCalls; }
@@ -71,6 +82,7 @@
   std::atomic<int> mAnswers;
   std::atomic<int> mCalls{ 0 };
   std::atomic<bool> mWantsAll{ false };
+  std::atomic<bool> mBlocked{ false };
   absl::Notification mReleased;
   std::unique_ptr<grpc::Server> mServer;
 };
@@ -84,6 +96,7 @@
   CPPUNIT_TEST(DocumentIsFetchedFromAnotherCoordinator);
   CPPUNIT_TEST(AllRecordsComeFromThePrimary);
   CPPUNIT_TEST(CommittedDocumentReplacesOneThatWasOnlyLogged);
+  CPPUNIT_TEST(AgeOfReplyIncludesSuspension);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,7 +117,7 @@
     settings.mRpcPort = kPort;
     settings.mSecurity.mPlaintext = true;
     auto client = std::make_unique<FleetClient>(
-      loop, settings, [](const std::string&, const rpc::FleetSyncReply&) {});
+      loop, settings, [](const std::string&, const rpc::FleetSyncReply&, TimePoint) {});
     client->AddCoordinator(ip);
     // By now the call is open and has most of its 700 ms left.
     std::this_thread::sleep_for(milliseconds(150));
@@ -129,12 +142,13 @@
     settings.mSecurity.mPlaintext = true;
     settings.mPause = milliseconds(200);
     settings.mFetchDocuments = true;
-    FleetClient client(loop, settings, [&](const std::string&, const rpc::FleetSyncReply& aReply) {
-      if (!aReply.document().empty()) {
-        arrived = true;
-        loop.Stop();
-      }
-    });
+    FleetClient client(
+      loop, settings, [&](const std::string&, const rpc::FleetSyncReply& aReply, TimePoint) {
+        if (!aReply.document().empty()) {
+          arrived = true;
+          loop.Stop();
+        }
+      });
     client.AddCoordinator(TestIp(22));
     std::this_thread::sleep_for(milliseconds(60));
     client.AddCoordinator(TestIp(23));
@@ -164,7 +178,8 @@
     settings.mPause = milliseconds(50);
     settings.mDataCentre = "a";
     {
-      FleetClient client(loop, settings, [](const std::string&, const rpc::FleetSyncReply&) {});
+      FleetClient client(
+        loop, settings, [](const std::string&, const rpc::FleetSyncReply&, TimePoint) {});
       client.SetPauses(settings.mPause, seconds(4));
       client.AddCoordinator(TestIp(24));
       client.AddCoordinator(TestIp(25));
@@ -195,7 +210,7 @@
       Loop loop;
       bool fetched = false;
       FleetClient client(
-        loop, settings, [&](const std::string&, const rpc::FleetSyncReply& aReply) {
+        loop, settings, [&](const std::string&, const rpc::FleetSyncReply& aReply, TimePoint) {
           fetched |= !aReply.document().empty();
         });
       client.SetDocument({ 5, false, DocumentDigest(held) });
@@ -205,6 +220,33 @@
       CPPUNIT_ASSERT_EQUAL(held == "dropped", fetched);
     }
   }
+
+  // Guards against records of upstreams that count as new because the reply waited while the
+  // machine was suspended.
+  void AgeOfReplyIncludesSuspension()
+  {
+    constexpr std::uint16_t kPort = 7954;
+    constexpr Duration kSuspended = seconds(3);
+    FakeCoordinator coordinator(TestIp(27), kPort, 0);
+    FleetClientSettings settings;
+    settings.mRpcPort = kPort;
+    settings.mSecurity.mPlaintext = true;
+    Loop loop;
+    std::optional<Duration> age;
+    FleetClient client(
+      loop, settings, [&](const std::string&, const rpc::FleetSyncReply&, TimePoint aSentAt) {
+        age = SteadyNow() - aSentAt;
+        loop.Stop();
+      });
+    client.AddCoordinator(TestIp(27));
+    CPPUNIT_ASSERT(coordinator.AwaitCall());
+    SimulateSuspension(kSuspended);
+    coordinator.Release();
+    loop.AddTimer(SteadyNow() + seconds(2), [&loop] { loop.Stop(); });
+    loop.Run();
+    CPPUNIT_ASSERT(age.has_value());
+    CPPUNIT_ASSERT(*age >= kSuspended);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetClientTest);
--- a/tests/test_loop.cpp
+++ b/tests/test_loop.cpp
@@ -1,5 +1,8 @@
 // Checks that SIGHUP does not end the process and that a stopped loop can run again.
+#include "log.h"
 #include "loop.h"
+#include "simulated_suspension.h"
+#include "suspension.h"
 
 #include <array>
 #include <csignal>
@@ -20,6 +23,8 @@
   CPPUNIT_TEST(ReloadSignalDoesNotEndTheProcess);
   CPPUNIT_TEST(RunsAgainAfterStop);
   CPPUNIT_TEST(EventOfClosedDescriptorIsDropped);
+  CPPUNIT_TEST(ClockCountsSuspension);
+  CPPUNIT_TEST(SuspensionIsLogged);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +93,37 @@
       close(fd);
     }
   }
+
+  // Guards against leases and deadlines that a suspension of the machine prolongs.
+  void ClockCountsSuspension()
+  {
+    constexpr milliseconds kSuspended{ 7700 };
+    const TimePoint before = SteadyNow();
+    SimulateSuspension(kSuspended);
+    CPPUNIT_ASSERT(SteadyNow() - before >= kSuspended);
+  }
+
+  void SuspensionIsLogged()
+  {
+    std::vector<std::string> lines;
+    SetLogSink([&lines](std::string_view aLine) {
+      if (aLine.find("name=ProcessSuspended") != std::string_view::npos) {
+        lines.emplace_back(aLine);
+      }
+    });
+    StartLogger("test", LogLevel::Info);
+    {
+      Loop loop;
+      ReportSuspensions(loop);
+      SimulateSuspension(std::chrono::seconds(3));
+      loop.AddTimer(SteadyNow() + milliseconds(600), [&loop] { loop.Stop(); });
+      loop.Run();
+    }
+    StopLogger();
+    SetLogSink(nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, lines.size());
+    CPPUNIT_ASSERT(lines[0].find("suspended_ms=30") != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoopTest);
--- a/tests/test_raft_node.cpp
+++ b/tests/test_raft_node.cpp
@@ -1,6 +1,7 @@
 // Tests of complete members over gRPC, real files and the event loop. They guard against faults
 // that appear only when these parts work together.
 #include "raft_node.h"
+#include "simulated_suspension.h"
 #include "test_address.h"
 
 #include <array>
@@ -219,6 +220,8 @@
   CPPUNIT_TEST(FailedSyncStopsMember);
   CPPUNIT_TEST(ChangesAreAcceptedWhileOneDiskIsFull);
   CPPUNIT_TEST(ChangesAreRefusedWhileNoMajorityCanWrite);
+  CPPUNIT_TEST(SuspendedLeaderRefusesReads);
+  CPPUNIT_TEST(SuspendedFollowerKnowsNoLeader);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -403,6 +406,39 @@
     CPPUNIT_ASSERT_EQUAL(1, failures->load());
     CPPUNIT_ASSERT(!group.Call([&] { return group.mNodes[leader]->Status().mLeading; }));
   }
+
+  // Guards against a leader that answers reads from its old state after a suspension in which
+  // another member may have become the leader.
+  void SuspendedLeaderRefusesReads()
+  {
+    TestGroup group;
+    group.StartAll(3);
+    const int leader = group.Leader();
+    CPPUNIT_ASSERT(group.Propose(leader, "a").has_value());
+    CPPUNIT_ASSERT(group.Await([&](auto aDone) { group.mNodes[leader]->ReadBarrier(aDone); }));
+    // In one task of the loop, so that no message of another member is handled in between.
+    const auto read = group.Await([&](auto aDone) {
+      SimulateSuspension(std::chrono::seconds(5));
+      group.mNodes[leader]->ReadBarrier(aDone);
+      CPPUNIT_ASSERT(!group.mNodes[leader]->Status().mLeading);
+    });
+    CPPUNIT_ASSERT(!read && read.error().mResult == Result::ReadUnavailable);
+  }
+
+  // Guards against a follower that reports its state as current after a suspension.
+  void SuspendedFollowerKnowsNoLeader()
+  {
+    TestGroup group;
+    group.StartAll(3);
+    const int follower = group.Leader() % 3 + 1;
+    CPPUNIT_ASSERT(
+      group.WaitUntil([&] { return !group.mNodes[follower]->Status().mLeader.empty(); }));
+    const std::string known = group.Call([&] {
+      SimulateSuspension(std::chrono::seconds(5));
+      return group.mNodes[follower]->Status().mLeader;
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), known);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RaftNodeTest);
