Do not take a reply for whole whose connection was reset while sending

Cause: a reset makes the socket readable and writable at once. HttpClient wrote first, send failed with ECONNRESET, which a socket reports once, and the error was dropped. The read after it found an ordinary end of the stream, which ends a reply without a length.

Evidence: a server that resets in the middle of its reply while the client still sends, and one that does so after it has got all. Only the first gave a complete reply, which rules out the parser and the server towards the caller.

Change: read before writing, so that the read meets the error; a failed send is kept with the connection, and the end of the stream then does not complete a reply without a length. Nothing on the wire changes.

Conclusion: the dropped error was the cause.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -81,6 +81,9 @@
   std::string mOutput;
   std::size_t mWritten = 0;
   std::size_t mReceived = 0;
+  // The error number of a failed send, or 0. The socket reports an error only once, so that the
+  // next read finds an ordinary end of the stream.
+  int mSendError = 0;
   // Whether the loop watches the socket for EPOLLOUT while a request is being sent.
   bool mWatchesWritable = false;
   TimePoint mIdleSince;
@@ -166,6 +169,7 @@
   void Start(const ConnectionPtr& aConnection, TransferId aId, Transfer& aTransfer);
   void Write(const ConnectionPtr& aConnection);
   void Read(const ConnectionPtr& aConnection);
+  void OnStreamEnd(const ConnectionPtr& aConnection);
   void SetBufferedBytes(Connection& aConnection, std::size_t aBytes);
   // Whether all replies together are too large and this one takes more than its share of them.
   bool ExceedsBufferShare(const Connection& aConnection) const;
@@ -323,12 +327,14 @@
       Close(aConnection);
       break;
     case Phase::Busy:
-      if ((aEvents & EPOLLOUT) != 0) {
-        Write(aConnection);
-      }
-      if (aConnection->mPhase == Phase::Busy && (aEvents & ~std::uint32_t{ EPOLLOUT }) != 0) {
+      // Reads first: a server may reply before it has read the request, and only a read tells
+      // whether its stream has ended or was reset.
+      if ((aEvents & ~std::uint32_t{ EPOLLOUT }) != 0) {
         Read(aConnection);
       }
+      if (aConnection->mPhase == Phase::Busy && (aEvents & EPOLLOUT) != 0) {
+        Write(aConnection);
+      }
       break;
     case Phase::Closed:
       break;
@@ -401,8 +407,9 @@
     } else if (errno != EINTR) {
       // If part of the request was sent, the server may have replied before it closed the
       // connection. Read still collects that reply.
+      connection.mSendError = errno;
       if (connection.mWritten == 0) {
-        DeferFinish(connection.mTransfer, TransferEnd::NotSent, errno);
+        DeferFinish(connection.mTransfer, TransferEnd::NotSent, connection.mSendError);
       }
       break;
     }
@@ -430,8 +437,7 @@
       return;
     }
     if (count == 0) {
-      OnReplyEnd(
-        aConnection, aConnection->mParser->End(), "the server closed the connection", true);
+      OnStreamEnd(aConnection);
       return;
     }
     const auto bytes = static_cast<std::size_t>(count);
@@ -452,6 +458,18 @@
   }
 }
 
+// The end of the stream ends a reply without a length, unless the connection was reset before.
+void
+HttpClient::State::OnStreamEnd(const ConnectionPtr& aConnection)
+{
+  const int error = aConnection->mSendError;
+  if (error == 0) {
+    OnReplyEnd(aConnection, aConnection->mParser->End(), "the server closed the connection", true);
+  } else {
+    OnReplyEnd(aConnection, ParseStep::Malformed, std::strerror(error), true);
+  }
+}
+
 void
 HttpClient::State::SetBufferedBytes(Connection& aConnection, std::size_t aBytes)
 {
