Acknowledge a departure only once other coordinators hold it

Cause: HandleLeave answered at once, while the departure was in the memory of one process. The loss of that process undid it: other coordinators fetch changes every 250 ms, the file was written once a second and left out what had gone, and nobody passed on what another coordinator had received.

Ruled out: that the restarted coordinator's older record wins (a departure has the highest sequence number), and that gateways which know of the departure keep the replica.

Coordinators pass on records of upstreams that are about to leave or have left, whoever received them. The same for announcements with the state draining.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "cmdline.h"
 #include "crash_exchange.h"
+#include "departures.h"
 #include "discovery_node.h"
 #include "document_state.h"
 #include "fleet.grpc.pb.h"
@@ -43,6 +44,9 @@
 constexpr Duration kActiveCountLifetime = std::chrono::seconds(15);
 // How often the list of upstreams is written to disk if it has changed.
 constexpr Duration kUpstreamsSaveInterval = std::chrono::seconds(1);
+// How long the file names an upstream that has left. Its announcements may arrive late, and files
+// of other coordinators may still list it.
+constexpr Duration kDepartureSaveTime = std::chrono::minutes(1);
 constexpr Duration kMembershipInterval = std::chrono::milliseconds(500);
 // How long the leader considers a request to join, which the joining host repeats every second.
 constexpr Duration kJoinRequestLifetime = std::chrono::seconds(3);
@@ -139,6 +143,9 @@
   void UpdateSubset();
   void RestoreUpstreams();
   void SaveUpstreams();
+  void AcknowledgeDeparture(const std::string& aUpstream, const HttpResponder& aRespond);
+  void CompletePendingDepartures();
+  std::size_t CopiesNeeded() const;
 
   void OnDocumentStored();
   void OnSyncReply(const std::string& aIp, const rpc::FleetSyncReply& aReply, TimePoint aSentAt);
@@ -185,6 +192,10 @@
   Gauge& mGatewaysGauge = mMetrics.AddGauge("apricot_gateways", "Gateways heard recently.");
   Gauge& mActiveGatewaysGauge =
     mMetrics.AddGauge("apricot_active_gateways", "Gateways that callers are sent to.");
+  Departures mDepartures;
+  Counter& mUnconfirmedDepartures =
+    mMetrics.AddCounter("apricot_unconfirmed_departures_total",
+                        "Departures of upstreams that were not acknowledged.");
   std::unique_ptr<LatestFile> mUpstreamsFile;
   // The registry cursor at the last write to mUpstreamsFile.
   std::uint64_t mSavedCursor = 0;
@@ -250,13 +261,22 @@
     return;
   }
   mSavedCursor = mRegistry.mCursor;
+  const TimePoint now = SteadyNow();
   rpc::FleetSyncReply saved;
   for (const DirectoryRecord* const record : ChangedSince(mRegistry, 0, RecordScope::All)) {
-    if (!record->mGone) {
+    const bool leftLately = record->mInfo.mState == UpstreamState::Left &&
+                            record->mConfirmedAt + kDepartureSaveTime > now;
+    if (!record->mGone || leftLately) {
       ToMessage(*record, Duration::zero(), *saved.add_records());
     }
   }
-  mUpstreamsFile->Save(saved.SerializeAsString());
+  mUpstreamsFile->Save(saved.SerializeAsString(), [this, cursor = mSavedCursor](bool aWritten) {
+    mLoop.Post([this, cursor, aWritten] {
+      std::uint64_t& upTo = aWritten ? mDepartures.mWrittenUpTo : mDepartures.mUnwritableUpTo;
+      upTo = std::max(upTo, cursor);
+      CompletePendingDepartures();
+    });
+  });
 }
 
 bool
@@ -558,12 +578,21 @@
   const TimePoint now = SteadyNow();
   RecordScope scope = RecordScope::All;
   if (auto host = FromMessage(aRequest.self())) {
-    const bool own = host->mRole == FleetRole::Coordinator || aRequest.own_records_only();
-    scope = own ? RecordScope::Own : RecordScope::All;
     RecordHostCall(mRegistry, *host, now);
+    if (host->mRole == FleetRole::Gateway) {
+      scope = aRequest.own_records_only() ? RecordScope::Own : RecordScope::All;
+    } else {
+      scope = RecordScope::OwnAndLeaving;
+    }
     if (host->mRole == FleetRole::Coordinator && host->mIp != mSelf.mIp) {
       mClient->AddCoordinator(host->mIp, host->mDataCentre);
       mClient->RetryNow(host->mIp);
+      // A late call of an earlier process says nothing about the records of its successor.
+      if (mRegistry.mHosts.at(host->mIp).mHost.mIncarnation == host->mIncarnation) {
+        const bool sameProcess = aRequest.cursor_incarnation() == mSelf.mIncarnation;
+        RecordCopy(mDepartures, host->mIp, sameProcess ? aRequest.cursor() : 0);
+        CompletePendingDepartures();
+      }
     }
   }
   rpc::FleetSyncReply reply;
@@ -746,7 +775,13 @@
                { "sequence", aInfo.mSequence },
                { "state", aInfo.mState == UpstreamState::Draining ? "draining" : "ready" } });
   }
-  aRespond(mProtocol.mEncodeAcknowledged());
+  const DirectoryRecord& record = mRegistry.mDirectory.mRecords.at(aInfo.mId);
+  if (IsLeaving(aInfo) && IsLeaving(record.mInfo) &&
+      record.mInfo.mIncarnation == aInfo.mIncarnation) {
+    AcknowledgeDeparture(aInfo.mId, aRespond);
+  } else {
+    aRespond(mProtocol.mEncodeAcknowledged());
+  }
 }
 
 void
@@ -754,7 +789,59 @@
 {
   const bool known = RemoveUpstream(mRegistry, aInfo.mId, aInfo.mIncarnation, SteadyNow());
   LogEvent(Event::UpstreamLeft, { { "upstream", aInfo.mId }, { "known", known } });
-  aRespond(mProtocol.mEncodeAcknowledged());
+  if (known) {
+    AcknowledgeDeparture(aInfo.mId, aRespond);
+  } else if (CopiesNeeded() > 0 && mRegistry.mLastSyncs.empty() &&
+             !mRegistry.mDirectory.mRecords.contains(aInfo.mId)) {
+    aRespond(UnavailableResponse("the upstreams of other coordinators are not known yet"));
+  } else {
+    aRespond(mProtocol.mEncodeAcknowledged());
+  }
+}
+
+std::size_t
+Coordinator::CopiesNeeded() const
+{
+  return apricotyard::CopiesNeeded(static_cast<std::size_t>(mSettings.mToleratedLosses),
+                                   mLog->Status().mMembers.size());
+}
+
+// Responds to an upstream that leaves once the loss of as many coordinators as must be tolerated
+// cannot undo the departure. Precondition: the registry has a record of the upstream.
+void
+Coordinator::AcknowledgeDeparture(const std::string& aUpstream, const HttpResponder& aRespond)
+{
+  const TimePoint now = SteadyNow();
+  const auto respond = [this, aUpstream, aRespond, now](DepartureOutcome aOutcome) {
+    const bool confirmed = aOutcome != DepartureOutcome::TooFewCopies;
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(SteadyNow() - now);
+    // Repeated announcements of an upstream that is about to leave are confirmed at once.
+    if (!confirmed || took.count() > 0) {
+      LogEvent(confirmed ? Event::DepartureConfirmed : Event::DepartureUnconfirmed,
+               { { "upstream", aUpstream },
+                 { "took_ms", took.count() },
+                 { "written", aOutcome == DepartureOutcome::Confirmed } });
+    }
+    if (confirmed) {
+      aRespond(mProtocol.mEncodeAcknowledged());
+    } else {
+      mUnconfirmedDepartures.Add();
+      aRespond(UnavailableResponse("no other coordinator knows of the departure yet"));
+    }
+  };
+  mDepartures.mPending.push_back(
+    { aUpstream, mRegistry.mChangedAt.at(aUpstream), now + kDepartureTimeout, respond });
+  mLoop.AddTimer(now + kDepartureTimeout, [this] { CompletePendingDepartures(); });
+  SaveUpstreams();
+  CompletePendingDepartures();
+}
+
+void
+Coordinator::CompletePendingDepartures()
+{
+  if (!mDepartures.mPending.empty()) {
+    CompleteDepartures(mDepartures, CopiesNeeded(), SteadyNow());
+  }
 }
 
 void
--- a/src/fleet_registry.cpp
+++ b/src/fleet_registry.cpp
@@ -11,6 +11,22 @@
 // so that no announcement of the removed incarnation is newer.
 constexpr std::uint64_t kRemovalSequence = std::numeric_limits<std::uint32_t>::max();
 
+bool
+IsInScope(const Directory& aDirectory, const DirectoryRecord& aRecord, RecordScope aScope)
+{
+  const bool own = aRecord.mRegistrar == aDirectory.mHost &&
+                   aRecord.mRegistrarIncarnation == aDirectory.mIncarnation;
+  switch (aScope) {
+    case RecordScope::Own:
+      return own;
+    case RecordScope::OwnAndLeaving:
+      return own || IsLeaving(aRecord.mInfo);
+    case RecordScope::All:
+      return true;
+  }
+  return true;
+}
+
 void
 AssignChangeNumbers(FleetRegistry& aRegistry)
 {
@@ -21,6 +37,12 @@
 
 } // namespace
 
+bool
+IsLeaving(const UpstreamInfo& aInfo)
+{
+  return aInfo.mState == UpstreamState::Draining || aInfo.mState == UpstreamState::Left;
+}
+
 AnnounceOutcome
 RegisterUpstream(FleetRegistry& aRegistry, const UpstreamInfo& aInfo, TimePoint aNow)
 {
@@ -41,6 +63,9 @@
     return false;
   }
   UpstreamInfo info = known->second.mInfo;
+  if (info.mState == UpstreamState::Left) {
+    return true;
+  }
   info.mState = UpstreamState::Left;
   info.mSequence = std::max(kRemovalSequence, info.mSequence + 1);
   RegisterUpstream(aRegistry, info, aNow);
@@ -91,9 +116,7 @@
     if (number <= aCursor || record == directory.mRecords.end()) {
       continue;
     }
-    const bool own = record->second.mRegistrar == directory.mHost &&
-                     record->second.mRegistrarIncarnation == directory.mIncarnation;
-    if (own || aScope == RecordScope::All) {
+    if (IsInScope(directory, record->second, aScope)) {
       changed.push_back(&record->second);
     }
   }
--- a/src/fleet_registry.h
+++ b/src/fleet_registry.h
@@ -71,13 +71,18 @@
 inline constexpr int kGatewayTimeoutPauses = 3;
 inline constexpr Duration kMinGatewayTimeout = std::chrono::milliseconds(1200);
 
+// Whether the upstream is about to leave or has left.
+bool
+IsLeaving(const UpstreamInfo& aInfo);
+
 // Applies an announcement that an upstream sent to this coordinator.
 AnnounceOutcome
 RegisterUpstream(FleetRegistry& aRegistry, const UpstreamInfo& aInfo, TimePoint aNow);
 
-// Records that an upstream is gone. A late announcement of the same incarnation does not restore
-// it. aIncarnation is 0 if the notice did not name one. Returns false if the upstream is unknown
-// here, or if a later incarnation than aIncarnation is registered.
+// Records that an upstream has left. A late announcement of the same incarnation does not restore
+// it, and a repeated notice changes nothing. aIncarnation is 0 if the notice did not name one.
+// Returns false if the upstream is unknown here, or if a later incarnation than aIncarnation is
+// registered.
 bool
 RemoveUpstream(FleetRegistry& aRegistry,
                const std::string& aId,
@@ -108,6 +113,9 @@
 {
   // Records of announcements that this coordinator received itself.
   Own,
+  // The same, and those of all coordinators about upstreams that are about to leave or have left. A
+  // departure thus outlives the coordinator that received it.
+  OwnAndLeaving,
   // Records of all coordinators.
   All,
 };
--- a/src/latest_file.cpp
+++ b/src/latest_file.cpp
@@ -27,10 +27,11 @@
 }
 
 void
-LatestFile::Save(std::string aData)
+LatestFile::Save(std::string aData, std::function<void(bool)> aOnWritten)
 {
   absl::MutexLock lock(&mMutex);
   mPendingData = std::move(aData);
+  mOnPendingWritten = std::move(aOnWritten);
   mHasPending = true;
 }
 
@@ -73,6 +74,7 @@
 {
   for (;;) {
     std::string data;
+    std::function<void(bool)> onWritten;
     {
       absl::MutexLock lock(&mMutex);
       const auto due = [this]()
@@ -82,11 +84,16 @@
         return;
       }
       data = std::move(mPendingData);
+      onWritten = std::move(mOnPendingWritten);
       mHasPending = false;
     }
-    if (!Write(data)) {
+    const bool written = Write(data);
+    if (!written) {
       LogEvent(Event::HintNotWritten, { { "file", mPath }, { "reason", std::strerror(errno) } });
     }
+    if (onWritten) {
+      onWritten(written);
+    }
   }
 }
 
--- /dev/null
+++ b/tests/coordinator_process.h
@@ -0,0 +1,56 @@
+// Runs coordinators as processes of their own, so that a test can kill one of them.
+#ifndef APRICOTYARD_COORDINATOR_PROCESS_H
+#define APRICOTYARD_COORDINATOR_PROCESS_H
+
+#include "types.h"
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <sys/types.h>
+
+namespace apricotyard {
+
+// First argument of the test program when it is to run a coordinator.
+inline constexpr const char* kRunCoordinatorArgument = "--run-coordinator";
+
+// Runs a coordinator with the arguments that CoordinatorGroup passes, until it is stopped. Returns
+// the exit code of the program. The HTTP calls are PUT and DELETE /upstreams/ID, PUT and GET
+// /document.
+int
+RunCoordinatorProcess(int aCount, char** aArguments);
+
+// A group of coordinators on loopback addresses. The destructor kills them and removes their files.
+// Not thread-safe.
+class CoordinatorGroup
+{
+public:
+  // Starts aMembers coordinators that are to bear the loss of aToleratedLosses. aFirstHost numbers
+  // the loopback address of the first one, see TestIp. Precondition: aMembers is at least 1.
+  CoordinatorGroup(int aFirstHost, int aMembers, int aToleratedLosses);
+  ~CoordinatorGroup();
+  CoordinatorGroup(const CoordinatorGroup&) = delete;
+  CoordinatorGroup& operator=(const CoordinatorGroup&) = delete;
+
+  // The members are numbered from 0.
+  std::string Ip(int aMember) const;
+  SocketAddress ControlAddress(int aMember) const;
+  SocketAddress RpcAddress(int aMember) const;
+  // Starts a member that was killed, with the files that it had.
+  void Start(int aMember);
+  // Ends a member at once and waits until it has ended.
+  void Kill(int aMember);
+
+private:
+  void Spawn(int aMember, bool aFirstStart);
+
+  const int mFirstHost;
+  const int mToleratedLosses;
+  const std::filesystem::path mFolder;
+  std::vector<pid_t> mProcesses;
+};
+
+} // namespace apricotyard
+
+#endif
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,5 +1,7 @@
 // Runs all registered tests, or those whose name contains the first argument. The failure of a test
 // listed in KNOWN-RED.txt ("test: CLASS::NAME") is printed, but does not fail the run.
+#include "coordinator_process.h"
+
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -64,6 +66,9 @@
 int
 main(int argc, char** argv)
 {
+  if (argc > 1 && std::string(argv[1]) == apricotyard::kRunCoordinatorArgument) {
+    return apricotyard::RunCoordinatorProcess(argc, argv);
+  }
   // RapidCheck reads the variable at its first check. A value that is already set is kept, so that
   // a failure can be reproduced with its seed.
   setenv("RC_PARAMS", "seed=20261204 max_success=500", 0);
--- a/tests/test_fleet_registry.cpp
+++ b/tests/test_fleet_registry.cpp
@@ -58,6 +58,8 @@
   CPPUNIT_TEST(LateAnnouncementDoesNotRestoreAnUpstreamThatLeft);
   CPPUNIT_TEST(NoticeOfAnEarlierIncarnationIsIgnored);
   CPPUNIT_TEST(NoticeSupersedesARecordOfAnotherCoordinator);
+  CPPUNIT_TEST(LeavingUpstreamsAreForwarded);
+  CPPUNIT_TEST(RepeatedNoticeChangesNothing);
   CPPUNIT_TEST(RenewalsDoNotCountAsChanges);
   CPPUNIT_TEST(ChangesArriveInParts);
   CPPUNIT_TEST(UpstreamsWithoutRenewalsExpire);
@@ -112,6 +114,52 @@
     }
   }
 
+  // Guards against a departure that only the coordinator tells which received it. The others tell
+  // it to the next process of that coordinator as well, whose file may be older.
+  void LeavingUpstreamsAreForwarded()
+  {
+    FleetRegistry first = MakeRegistry("c1");
+    FleetRegistry second = MakeRegistry("c2");
+    for (const std::string id : { "stays", "drains", "leaves" }) {
+      RegisterUpstream(first, MakeAnnouncement(id, 5, 1), kStart);
+    }
+    UpstreamInfo draining = MakeAnnouncement("drains", 5, 2);
+    draining.mState = UpstreamState::Draining;
+    RegisterUpstream(first, draining, kStart);
+    CPPUNIT_ASSERT(RemoveUpstream(first, "leaves", 5, kStart));
+    for (const DirectoryRecord* const record : ChangedSince(first, 0, RecordScope::Own)) {
+      ApplyRemoteRecord(second, *record, Duration::zero(), kStart);
+    }
+    CPPUNIT_ASSERT(ChangedSince(second, 0, RecordScope::Own).empty());
+    const auto forwarded = ChangedSince(second, 0, RecordScope::OwnAndLeaving);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, forwarded.size());
+    FleetRegistry restarted = MakeRegistry("c1");
+    restarted.mDirectory.mIncarnation = 2;
+    for (const std::string id : { "stays", "drains", "leaves" }) {
+      RegisterUpstream(restarted, MakeAnnouncement(id, 5, 1), kStart);
+    }
+    for (const DirectoryRecord* const record : forwarded) {
+      ApplyRemoteRecord(restarted, *record, Duration::zero(), kStart);
+    }
+    std::map<std::string, UpstreamState> listed;
+    for (const UpstreamInfo& info : ListUpstreams(restarted.mDirectory)) {
+      listed[info.mId] = info.mState;
+    }
+    CPPUNIT_ASSERT(listed ==
+                   (std::map<std::string, UpstreamState>{ { "drains", UpstreamState::Draining },
+                                                          { "stays", UpstreamState::Ready } }));
+  }
+
+  void RepeatedNoticeChangesNothing()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    RegisterUpstream(registry, MakeAnnouncement("u", 5, 1), kStart);
+    CPPUNIT_ASSERT(RemoveUpstream(registry, "u", 5, kStart));
+    const std::uint64_t cursor = registry.mCursor;
+    CPPUNIT_ASSERT(RemoveUpstream(registry, "u", 0, kStart + seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(cursor, registry.mCursor);
+  }
+
   void RenewalsDoNotCountAsChanges()
   {
     FleetRegistry registry = MakeRegistry("c1");
