--- a/src/loop.cpp
+++ b/src/loop.cpp
@@ -1,6 +1,7 @@
-#include "log.h"
 #include "loop.h"
 
+#include "log.h"
+
 #include <array>
 #include <cerrno>
 #include <csignal>
