--- a/src/types.h
+++ b/src/types.h
@@ -25,10 +25,10 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): std::chrono
 
   // Thread-safe.
-  static time_point now();
+  static time_point now(); // NOLINT(readability-identifier-naming): std::chrono
 };
 
 // The current time is passed to every decision as an argument. The boot clock is used throughout,
