--- a/tests/simulated_suspension.cpp
+++ b/tests/simulated_suspension.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-std::atomic<std::int64_t> gSuspendedNanoseconds{ 0 };
+std::atomic<std::int64_t> sSuspendedNanoseconds{ 0 };
 
 } // namespace
 
@@ -19,7 +19,7 @@
   constexpr std::int64_t kNanosecondsPerSecond = 1'000'000'000;
   const int result = static_cast<int>(syscall(SYS_clock_gettime, aClock, aTime));
   if (result == 0 && aClock == CLOCK_BOOTTIME) {
-    const std::int64_t nanoseconds = aTime->tv_nsec + gSuspendedNanoseconds.load();
+    const std::int64_t nanoseconds = aTime->tv_nsec + sSuspendedNanoseconds.load();
     aTime->tv_sec += nanoseconds / kNanosecondsPerSecond;
     aTime->tv_nsec = nanoseconds % kNanosecondsPerSecond;
   }
@@ -31,7 +31,7 @@
 void
 SimulateSuspension(Duration aTime)
 {
-  gSuspendedNanoseconds += std::chrono::nanoseconds(aTime).count();
+  sSuspendedNanoseconds += std::chrono::nanoseconds(aTime).count();
 }
 
 } // namespace apricotyard
