Do not refuse a request that another gateway may run

Cause: the answer at the deadline, and at the end of a stop, knew of a run at the other gateway only once the transfer to it had ended. Its timer is set later than the deadline's and mostly ends later.

Ruled out: that the other gateway's refusal is passed back (a gateway that never answers shows the fault as well).

Change: an open transfer of which a byte was sent counts as one that may have run, and an earlier refusal of a replica is not passed back then either. Nothing on the wire changes.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1584,10 +1584,12 @@
 HttpResponse
 Relay::State::MakeFailureResponse(const RelayedRequest& aRelayed)
 {
-  const bool mayHaveRun = MayHaveRun(aRelayed);
+  // Another gateway that has got the request may run it.
+  const bool mayHaveRun = MayHaveRun(aRelayed) || mClient.IsSent(aRelayed.mPeerTransfer);
   const Subrequest& first = aRelayed.mSubrequests.front();
+  const bool isTrue = !mayHaveRun || !IsRefusal(first.mReply.mStatus);
   if (aRelayed.mRoute->mTarget == RouteTarget::OneService && first.mReply.mStatus != 0 &&
-      !aRelayed.mDeadlinePassed) {
+      !aRelayed.mDeadlinePassed && isTrue) {
     return MakeForwardedResponse(first);
   }
   if (!mayHaveRun && IsAnyStopped(aRelayed)) {
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -412,7 +412,11 @@
                     .PreserveRawRequest()
                     .OnRequest([this](const HttpRequest& aRequest, const HttpResponder& aRespond) {
                       mReceived.push_back(aRequest);
-                      aRespond(SignedResponse(aRequest, 200, "from the peer", "s1"));
+                      if (mAnswers) {
+                        aRespond(SignedResponse(aRequest, 200, "from the peer", "s1"));
+                      } else {
+                        mPending.push_back(aRespond);
+                      }
                     })
                     .Start();
     CPPUNIT_ASSERT_MESSAGE(server ? "" : server.error().mMessage, server.has_value());
@@ -421,8 +425,11 @@
 
   inline static const SocketAddress kAddress{ kReplicaIp, kFirstReplicaPort + 60 };
   std::vector<HttpRequest> mReceived;
+  // If false, requests are kept without an answer, as while they run.
+  bool mAnswers = true;
 
 private:
+  std::vector<HttpResponder> mPending;
   std::unique_ptr<HttpServer> mServer;
 };
 
@@ -526,6 +533,8 @@
   CPPUNIT_TEST(RequestIsPassedOnOnce);
   CPPUNIT_TEST(GatewayWithoutReplicasAndPeersRefusesAtOnce);
   CPPUNIT_TEST(RequestThatMayHaveRunIsNotPassedOn);
+  CPPUNIT_TEST(RequestThatRunsAtAnotherGatewayIsNotRefused);
+  CPPUNIT_TEST(AbortedRequestThatRunsAtAnotherGatewayIsNotRefused);
   CPPUNIT_TEST(GatewayUsesReplicasThatReturn);
   CPPUNIT_TEST(SlowReplicasAreNotTakenForUnreachable);
   CPPUNIT_TEST_SUITE_END();
@@ -1365,6 +1374,41 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, peer.mReceived.size());
   }
 
+  // Guards against the status "not run" for a request that another gateway may still run.
+  void RequestThatRunsAtAnotherGatewayIsNotRefused()
+  {
+    RelayFixture fixture;
+    PeerGateway peer(fixture);
+    const SilentAddress silent(fixture.AddReplicaWithoutServer("s").mInfo.mAddress, false);
+    Relay& relay = fixture.TestedRelay();
+    relay.SetReachabilityHandler([&relay] { relay.SetPeers({ PeerGateway::kAddress }); });
+    fixture.Publish(PatientRoute(false));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/first").mStatus);
+    peer.mAnswers = false;
+    for (int i = 0; i < 3; ++i) {
+      const ClientReply reply = fixture.Get("/slow");
+      CPPUNIT_ASSERT_EQUAL(504, reply.mStatus);
+      CPPUNIT_ASSERT_EQUAL(std::string_view(), reply.Header("retry-after"));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 4 }, peer.mReceived.size());
+  }
+
+  // The same at the end of a stop.
+  void AbortedRequestThatRunsAtAnotherGatewayIsNotRefused()
+  {
+    RelayFixture fixture;
+    PeerGateway peer(fixture);
+    const SilentAddress silent(fixture.AddReplicaWithoutServer("s").mInfo.mAddress, false);
+    Relay& relay = fixture.TestedRelay();
+    relay.SetReachabilityHandler([&relay] { relay.SetPeers({ PeerGateway::kAddress }); });
+    fixture.Publish(PatientRoute(false));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/first").mStatus);
+    peer.mAnswers = false;
+    fixture.EventLoop().AddTimer(SteadyNow() + milliseconds(300),
+                                 [&relay] { relay.AbortOpenRequests(); });
+    CPPUNIT_ASSERT_EQUAL(502, fixture.Get("/slow").mStatus);
+  }
+
   void GatewayUsesReplicasThatReturn()
   {
     RelayFixture fixture;
