Reject heartbeats without version or warm-up time

Cause: the adapter did not read `version` and `warmup_left_ms`, so that it could not miss them.

Ruled out: that an announcement may change the service of an incarnation; forbidding that would hide the fault, as the same heartbeat could change the state or the slots.

Replicas of the platform always send them.

--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -91,7 +91,8 @@
       { "service", 7 },        { "service", "" },         { "address", "elsewhere" },
       { "address", nullptr },  { "zone", Json::array() }, { "slots", "5" },
       { "slots", -1 },         { "state", "asleep" },     { "sequence", 1.5 },
-      { "born", "yesterday" },
+      { "born", "yesterday" }, { "version", 1 },          { "version", "" },
+      { "version", nullptr },  { "warmup_left_ms", "0" }, { "warmup_left_ms", -1 },
     };
     for (const auto& [name, value] : changes) {
       Json heartbeat = MakeHeartbeat();
@@ -99,7 +100,14 @@
       CPPUNIT_ASSERT_MESSAGE(name,
                              !DecodeCall(MakeRequest("PUT", "/instances/i-1", heartbeat.dump())));
     }
-    for (const char* const name : { "service", "address", "zone", "slots", "state", "sequence" }) {
+    for (const char* const name : { "service",
+                                    "address",
+                                    "zone",
+                                    "version",
+                                    "slots",
+                                    "state",
+                                    "warmup_left_ms",
+                                    "sequence" }) {
       Json heartbeat = MakeHeartbeat();
       heartbeat.erase(name);
       CPPUNIT_ASSERT_MESSAGE(name,
