--- a/tests/test_raft_node.cpp
+++ b/tests/test_raft_node.cpp
@@ -1,5 +1,6 @@
 // Tests of complete members over gRPC, real files and the event loop. They guard against faults
 // that appear only when these parts work together.
+#include "memory_files.h"
 #include "raft_node.h"
 #include "simulated_suspension.h"
 #include "test_address.h"
@@ -190,14 +191,17 @@
 
 using FullDisks = std::array<std::atomic<bool>, 3>;
 
-// Starts the members. Writes of a member fail while its element of the result is true.
+// Starts the members. Writes of a member fail while its element of the result is true. Their files
+// are in memory, because a sync of a busy disk can take longer than the lease of the leader.
 std::shared_ptr<FullDisks>
 StartWithFullDisks(TestGroup& aGroup, int aMembers)
 {
   auto full = std::make_shared<FullDisks>();
   auto next = std::make_shared<std::size_t>(0);
-  aGroup.mCustomise = [full, next](RaftNode::Builder& aBuilder) {
-    FileOps ops = SystemFileOps();
+  auto disks = std::make_shared<std::vector<std::unique_ptr<MemoryDisk>>>();
+  aGroup.mCustomise = [full, next, disks](RaftNode::Builder& aBuilder) {
+    disks->push_back(std::make_unique<MemoryDisk>(*next));
+    FileOps ops = disks->back()->StartProcess();
     ops.mWrite = [full, member = (*next)++, write = ops.mWrite](
                    int aFd, std::string_view aData, std::uint64_t aOffset) -> ssize_t {
       return (*full)[member] ? -ENOSPC : write(aFd, aData, aOffset);
