Read-through: restore comments of loop.cpp, rename and drop what is not needed

The formatter had wrapped comments of loop.cpp at 80 columns in a copy; they are as before. PendingDeparture named its upstream, which nothing read. `isTrue` in MakeFailureResponse is `mayForward`, with the reason.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -830,7 +830,7 @@
     }
   };
   mDepartures.mPending.push_back(
-    { aUpstream, mRegistry.mChangedAt.at(aUpstream), now + kDepartureTimeout, respond });
+    { mRegistry.mChangedAt.at(aUpstream), now + kDepartureTimeout, respond });
   mLoop.AddTimer(now + kDepartureTimeout, [this] { CompletePendingDepartures(); });
   SaveUpstreams();
   CompletePendingDepartures();
--- a/src/departures.h
+++ b/src/departures.h
@@ -33,7 +33,6 @@
 
 struct PendingDeparture
 {
-  std::string mUpstream;
   // Number of the change in the registry that records the departure.
   std::uint64_t mChange = 0;
   TimePoint mDeadline;
--- a/src/loop.cpp
+++ b/src/loop.cpp
@@ -19,9 +19,8 @@
 
 // Limit of the task queue. Bounds the memory of a loop that falls behind.
 constexpr std::size_t kMaxPostedTasks = 16'384;
-// Longest wait for events, so that a lost wake-up delays a task by at most this
-// time. The user data of an event: the descriptor in the low bits, its
-// generation above them.
+// Longest wait for events, so that a lost wake-up delays a task by at most this time.
+// The user data of an event: the descriptor in the low bits, its generation above them.
 constexpr unsigned kFdBits = 32;
 constexpr std::uint64_t kFdMask = (std::uint64_t{ 1 } << kFdBits) - 1;
 constexpr Duration kMaxWait = std::chrono::seconds(1);
@@ -188,21 +187,20 @@
     for (const PrepareHandler& prepare : mPrepareHandlers) {
       wait = std::min(wait, prepare());
     }
-    // Rounds up to whole milliseconds. Rounding down would make the loop spin
-    // until the timer is due.
+    // Rounds up to whole milliseconds. Rounding down would make the loop spin until the timer is
+    // due.
     const auto millis =
       std::chrono::ceil<std::chrono::milliseconds>(std::max(wait, Duration::zero()));
     const int count =
       epoll_wait(mEpollFd, events.data(), kEventsPerWait, static_cast<int>(millis.count()));
     for (int i = 0; i < count; ++i) {
       const auto found = mWatches.find(static_cast<int>(events[i].data.u64 & kFdMask));
-      // A handler that ran before may have closed the descriptor, and a new one
-      // may have its number.
+      // A handler that ran before may have closed the descriptor, and a new one may have its
+      // number.
       if (found == mWatches.end() || found->second->mGeneration != events[i].data.u64 >> kFdBits) {
         continue;
       }
-      // Keeps the handler alive, because it may remove its own descriptor while
-      // it runs.
+      // Keeps the handler alive, because it may remove its own descriptor while it runs.
       const std::shared_ptr<Watch> watch = found->second;
       watch->mHandler(events[i].events);
     }
@@ -221,8 +219,7 @@
     mPostedTasks.push_back(std::move(aTask));
   }
   const std::uint64_t one = 1;
-  // A full eventfd counter already wakes the loop, so a failed write needs no
-  // handling.
+  // A full eventfd counter already wakes the loop, so a failed write needs no handling.
   [[maybe_unused]] const ssize_t written = write(mWakeFd, &one, sizeof(one));
   return true;
 }
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1587,9 +1587,10 @@
   // Another gateway that has got the request may run it.
   const bool mayHaveRun = MayHaveRun(aRelayed) || mClient.IsSent(aRelayed.mPeerTransfer);
   const Subrequest& first = aRelayed.mSubrequests.front();
-  const bool isTrue = !mayHaveRun || !IsRefusal(first.mReply.mStatus);
+  // A refusal of a replica is passed back only if it is true for the other attempts as well.
+  const bool mayForward = !mayHaveRun || !IsRefusal(first.mReply.mStatus);
   if (aRelayed.mRoute->mTarget == RouteTarget::OneService && first.mReply.mStatus != 0 &&
-      !aRelayed.mDeadlinePassed && isTrue) {
+      !aRelayed.mDeadlinePassed && mayForward) {
     return MakeForwardedResponse(first);
   }
   if (!mayHaveRun && IsAnyStopped(aRelayed)) {
--- a/tests/test_departures.cpp
+++ b/tests/test_departures.cpp
@@ -109,7 +109,7 @@
 PendingDeparture
 MakePending(std::uint64_t aChange, std::vector<DepartureOutcome>& aOutcomes)
 {
-  return { "u", aChange, kStart + kDepartureTimeout, [&aOutcomes](DepartureOutcome aOutcome) {
+  return { aChange, kStart + kDepartureTimeout, [&aOutcomes](DepartureOutcome aOutcome) {
             aOutcomes.push_back(aOutcome);
           } };
 }
