Add a failing test: requests that go on crashing replicas, with real processes

Three coordinators, four gateways and ten replicas run as processes; a request that crashes replicas comes every 0.3 to 1 s to the gateways in turn, beside 100 other requests a second. The replicas end in four ways and come back with a new identifier after 0.3 to 6 s. Bound: at most three runs later than 4 s after the third crash.

The four tests that fail are listed in KNOWN-RED.txt until the fix. The servers that crash and the silent addresses of RelayTest move to files of their own, because the replicas' processes use them as well; no check changes.

--- a/tests/coordinator_process.h
+++ b/tests/coordinator_process.h
@@ -2,13 +2,10 @@
 #ifndef APRICOTYARD_COORDINATOR_PROCESS_H
 #define APRICOTYARD_COORDINATOR_PROCESS_H
 
+#include "child_process.h"
 #include "types.h"
 
-#include <filesystem>
-#include <string>
-#include <vector>
-
-#include <sys/types.h>
+#include <memory>
 
 namespace apricotyard {
 
@@ -16,8 +13,7 @@
 inline constexpr const char* kRunCoordinatorArgument = "--run-coordinator";
 
 // Runs a coordinator with the arguments that CoordinatorGroup passes, until it is stopped. Returns
-// the exit code of the program. The HTTP calls are PUT and DELETE /upstreams/ID, PUT and GET
-// /document.
+// the exit code of the program. See MakeProcessProtocol for its interface.
 int
 RunCoordinatorProcess(int aCount, char** aArguments);
 
@@ -48,7 +44,7 @@
   const int mFirstHost;
   const int mToleratedLosses;
   const std::filesystem::path mFolder;
-  std::vector<pid_t> mProcesses;
+  std::vector<std::unique_ptr<ChildProcess>> mProcesses;
 };
 
 } // namespace apricotyard
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,6 +1,8 @@
 // Runs all registered tests, or those whose name contains the first argument. The failure of a test
 // listed in KNOWN-RED.txt ("test: CLASS::NAME") is printed, but does not fail the run.
 #include "coordinator_process.h"
+#include "gateway_process.h"
+#include "replica_process.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -66,15 +68,22 @@
 int
 main(int argc, char** argv)
 {
-  if (argc > 1 && std::string(argv[1]) == apricotyard::kRunCoordinatorArgument) {
+  const std::string first = argc > 1 ? argv[1] : "";
+  if (first == apricotyard::kRunCoordinatorArgument) {
     return apricotyard::RunCoordinatorProcess(argc, argv);
   }
+  if (first == apricotyard::kRunGatewayArgument) {
+    return apricotyard::RunGatewayProcess(argc, argv);
+  }
+  if (first == apricotyard::kRunReplicaArgument) {
+    return apricotyard::RunReplicaProcess(argc, argv);
+  }
   // RapidCheck reads the variable at its first check. A value that is already set is kept, so that
   // a failure can be reproduced with its seed.
   setenv("RC_PARAMS", "seed=20261204 max_success=500", 0);
   CppUnit::Test* const all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
   CppUnit::TestSuite selected("selected");
-  AddMatchingTests(all, argc > 1 ? argv[1] : "", selected);
+  AddMatchingTests(all, first, selected);
   CppUnit::TestResult controller;
   CppUnit::TestResultCollector collector;
   controller.addListener(&collector);
--- /dev/null
+++ b/tests/process_protocol.cpp
@@ -0,0 +1,100 @@
+#include "process_protocol.h"
+
+#include "settings.h"
+
+#include <cstdlib>
+#include <sstream>
+
+namespace apricotyard {
+
+namespace {
+
+constexpr std::uint32_t kMaxConnections = 100;
+constexpr std::uint32_t kSlots = 4;
+
+std::uint64_t
+NumberArgument(const HttpRequest& aRequest, std::string_view aName, std::uint64_t aDefault)
+{
+  const std::string text(aRequest.Argument(aName));
+  return text.empty() ? aDefault : std::strtoull(text.c_str(), nullptr, 10);
+}
+
+Expected<FleetCall>
+DecodeCall(const HttpRequest& aRequest)
+{
+  const std::string prefix = "/upstreams/";
+  FleetCall call;
+  if (aRequest.mPath == "/document") {
+    call.mKind =
+      aRequest.mMethod == "PUT" ? FleetCallKind::OfferDocument : FleetCallKind::ReadDocument;
+  } else if (aRequest.mPath == "/ready") {
+    call.mKind = FleetCallKind::CheckReady;
+  } else if (aRequest.mPath.starts_with(prefix)) {
+    UpstreamInfo& info = call.mUpstream;
+    call.mKind = aRequest.mMethod == "PUT" ? FleetCallKind::Announce : FleetCallKind::Leave;
+    info.mId = aRequest.mPath.substr(prefix.size());
+    info.mIncarnation = NumberArgument(aRequest, "incarnation", 1);
+    info.mSequence = NumberArgument(aRequest, "sequence", 0);
+    const std::string service(aRequest.Argument("service"));
+    info.mService = service.empty() ? "s" : service;
+    info.mAddress = ParseSocketAddress(std::string(aRequest.Argument("address")))
+                      .value_or(SocketAddress{ "127.0.0.1", 1 });
+    info.mDataCentre = "a";
+    info.mRange = { 0, kKeySpace };
+    info.mSlots = kSlots;
+    info.mState =
+      aRequest.Argument("state") == "draining" ? UpstreamState::Draining : UpstreamState::Ready;
+  }
+  return call;
+}
+
+Expected<RoutingDocument>
+DecodeDocumentText(std::string_view aText)
+{
+  std::istringstream words{ std::string(aText) };
+  RoutingDocument document;
+  std::string target;
+  words >> document.mVersion >> target;
+  Route route;
+  route.mName = "only";
+  route.mHost = "h";
+  route.mPathPrefix = "/";
+  route.mTimeout = std::chrono::seconds(2);
+  route.mObjective = std::chrono::milliseconds(250);
+  route.mMaxAttempts = 2;
+  route.mTarget = target == "all" ? RouteTarget::AllShards : RouteTarget::OneService;
+  route.mTopRecords = 1;
+  route.mMinCoverage = 0.5;
+  for (std::string service; words >> service;) {
+    route.mServices.push_back({ service, 1 });
+    document.mServices.push_back({ service, kMaxConnections });
+  }
+  if (!route.mServices.empty()) {
+    document.mRoutes.push_back(std::move(route));
+  }
+  return document;
+}
+
+} // namespace
+
+HeaderNames
+TestHeaderNames()
+{
+  return { "x-id", "x-left", "x-expect", "x-signature", "x-parts", "x-missing", "x-not-run" };
+}
+
+PlatformProtocol
+MakeProcessProtocol()
+{
+  PlatformProtocol protocol;
+  protocol.mHeaders = TestHeaderNames();
+  protocol.mDecodeCall = DecodeCall;
+  protocol.mDecodeDocument = DecodeDocumentText;
+  protocol.mEncodeGateways = [](const std::vector<SocketAddress>&, std::chrono::milliseconds) {
+    return HttpResponse();
+  };
+  protocol.mEncodeAcknowledged = [] { return HttpResponse(); };
+  return protocol;
+}
+
+} // namespace apricotyard
--- /dev/null
+++ b/tests/process_protocol.h
@@ -0,0 +1,28 @@
+// The HTTP interface that coordinators, gateways and replicas of a test speak as processes.
+#ifndef APRICOTYARD_PROCESS_PROTOCOL_H
+#define APRICOTYARD_PROCESS_PROTOCOL_H
+
+#include "platform_protocol.h"
+
+namespace apricotyard {
+
+inline constexpr std::uint16_t kControlPort = 7981;
+inline constexpr std::uint16_t kDirectoryPort = 7982;
+inline constexpr std::uint16_t kRpcPort = 7983;
+inline constexpr std::uint16_t kPeerPort = 7984;
+inline constexpr std::uint16_t kCallerPort = 7985;
+inline constexpr std::uint16_t kReadyPort = 7986;
+
+HeaderNames
+TestHeaderNames();
+
+// Calls are PUT and DELETE /upstreams/ID with the arguments sequence, state, service, address,
+// incarnation, all optional; PUT and GET /document; GET /ready. A document is its version, "one" or
+// "all", and the services of its only route, which has the host "h" and the prefix "/". The version
+// alone is a document without a route.
+PlatformProtocol
+MakeProcessProtocol();
+
+} // namespace apricotyard
+
+#endif
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -1,7 +1,9 @@
 // Guards against modified requests and responses, merged responses with a wrong coverage, requests
 // that run twice, refusals of requests that may have run, and work for callers that have
 // disconnected.
+#include "crashing_server.h"
 #include "log.h"
+#include "process_protocol.h"
 #include "reachability.h"
 #include "relay.h"
 #include "socket_address.h"
@@ -29,12 +31,6 @@
 constexpr std::uint16_t kGatewayPort = 7911;
 constexpr std::uint16_t kFirstReplicaPort = 7920;
 
-HeaderNames
-TestHeaderNames()
-{
-  return { "x-id", "x-left", "x-expect", "x-signature", "x-parts", "x-missing", "x-not-run" };
-}
-
 using RequestHandler = std::function<void(const HttpRequest&, const HttpResponder&)>;
 
 // A signed response that echoes the request ID.
@@ -270,138 +266,6 @@
 
 const HttpHeader kLeavingHeader{ "X-Leaving", "1" };
 
-// Opens a non-blocking listening socket.
-int
-OpenListener(const SocketAddress& aAddress, int aBacklog = 8)
-{
-  const auto native = ToNative(aAddress);
-  CPPUNIT_ASSERT(native.has_value());
-  const int fd = socket(native->mStorage.ss_family, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  CPPUNIT_ASSERT_EQUAL(0, bind(fd, native->Raw(), native->mLength));
-  CPPUNIT_ASSERT_EQUAL(0, listen(fd, aBacklog));
-  return fd;
-}
-
-// Server that ends like a crashed process on some requests: all connections close without a reply,
-// and nothing listens at the address. Answers GET requests only.
-class CrashingServer
-{
-public:
-  CrashingServer(Loop& aLoop,
-                 SocketAddress aAddress,
-                 std::function<bool(const std::string&)> aCrashes)
-    : mLoop(aLoop)
-    , mAddress(std::move(aAddress))
-    , mCrashes(std::move(aCrashes))
-  {
-    Start();
-  }
-  ~CrashingServer() { Stop(); }
-  CrashingServer(const CrashingServer&) = delete;
-  CrashingServer& operator=(const CrashingServer&) = delete;
-
-  void Start()
-  {
-    mListener = OpenListener(mAddress);
-    mLoop.AddFd(mListener, EPOLLIN, [this](std::uint32_t) {
-      const int fd = accept4(mListener, nullptr, nullptr, SOCK_NONBLOCK);
-      if (fd >= 0) {
-        mConnections[fd];
-        mLoop.AddFd(fd, EPOLLIN, [this, fd](std::uint32_t) { Read(fd); });
-      }
-    });
-  }
-
-  bool IsListening() const { return mListener >= 0; }
-  std::size_t CrashCount() const { return mCrashCount; }
-
-private:
-  void Close(int aFd)
-  {
-    mLoop.RemoveFd(aFd);
-    close(aFd);
-  }
-
-  void Stop()
-  {
-    if (mListener >= 0) {
-      Close(std::exchange(mListener, -1));
-    }
-    for (const auto& [fd, input] : std::exchange(mConnections, {})) {
-      Close(fd);
-    }
-  }
-
-  void Read(int aFd)
-  {
-    std::array<char, 4096> buffer;
-    const ssize_t count = recv(aFd, buffer.data(), buffer.size(), 0);
-    if (count <= 0) {
-      Close(aFd);
-      mConnections.erase(aFd);
-      return;
-    }
-    std::string& input = mConnections[aFd];
-    input.append(buffer.data(), static_cast<std::size_t>(count));
-    if (input.find("\r\n\r\n") == std::string::npos) {
-      return;
-    }
-    const std::string head = std::exchange(input, {});
-    if (mCrashes(head.substr(0, head.find(' ', 4)))) {
-      ++mCrashCount;
-      Stop();
-      return;
-    }
-    const std::string reply =
-      "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Signature: s1\r\nContent-Length: 0\r\n\r\n";
-    CPPUNIT_ASSERT(send(aFd, reply.data(), reply.size(), MSG_NOSIGNAL) > 0);
-  }
-
-  Loop& mLoop;
-  const SocketAddress mAddress;
-  // Gets the method and the path of a request.
-  const std::function<bool(const std::string&)> mCrashes;
-  int mListener = -1;
-  // The input so far, by socket.
-  std::map<int, std::string> mConnections;
-  std::size_t mCrashCount = 0;
-};
-
-// Address at which connections hang, as behind a partition: nobody accepts them, and the queue of
-// the kernel is full. The first aTaken connections are established and stay silent.
-class SilentAddress
-{
-public:
-  SilentAddress(const SocketAddress& aAddress, bool aTakesFirst)
-    : mListener(OpenListener(aAddress, 0))
-  {
-    for (int i = aTakesFirst ? 1 : 0; i < kQueueLength; ++i) {
-      const auto native = ToNative(aAddress);
-      const int fd = socket(native->mStorage.ss_family, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      CPPUNIT_ASSERT(connect(fd, native->Raw(), native->mLength) == 0 || errno == EINPROGRESS);
-      mFillers.push_back(fd);
-    }
-  }
-  ~SilentAddress()
-  {
-    for (const int fd : mFillers) {
-      close(fd);
-    }
-    close(mListener);
-  }
-  SilentAddress(const SilentAddress&) = delete;
-  SilentAddress& operator=(const SilentAddress&) = delete;
-
-private:
-  // Connections that the kernel establishes for a backlog of 0.
-  static constexpr int kQueueLength = 1;
-
-  int mListener;
-  std::vector<int> mFillers;
-};
-
 // A gateway to which the tested one can pass requests on.
 class PeerGateway
 {
@@ -450,8 +314,8 @@
       for (std::size_t i = 0; i < aPerService; ++i) {
         FakeReplica& replica = aFixture.AddReplicaWithoutServer(service.mService);
         mReplicas.push_back(&replica);
-        mServers.push_back(
-          std::make_unique<CrashingServer>(aFixture.EventLoop(), replica.mInfo.mAddress, aCrashes));
+        mServers.push_back(std::make_unique<CrashingServer>(
+          aFixture.EventLoop(), CrashingServerSettings{ replica.mInfo.mAddress, aCrashes }));
       }
     }
     aFixture.Publish(mRoute);
@@ -1421,7 +1285,7 @@
     fixture.Get("/first");
     silent.reset();
     const CrashingServer server(
-      fixture.EventLoop(), replica.mInfo.mAddress, [](const std::string&) { return false; });
+      fixture.EventLoop(), { replica.mInfo.mAddress, [](const std::string&) { return false; } });
     const TimePoint noticedBy = SteadyNow() + kNoticeTime + kMinStableTime;
     fixture.EventLoop().AddTimer(noticedBy, [&fixture] { fixture.EventLoop().Stop(); });
     fixture.EventLoop().Run();
