Restrict requests by suspected crashes, and give gateways back what they reported

Cause: decisions waited for proof while the harm went on, and state that one process had was missing in others. - A lost connection counted only if the address refused a new one within a second. The address of a host that is down is silent. - Coordinators left out what the calling address had reported, so a gateway that was restarted did not get its own crashes. - Verdicts were bound to one service, and a crash was taken for proven if the request was alone at its own gateway.

Change: a gateway suspects a crash when a replica ends a connection under a request, or is silent for 0.8 s and accepts no connection. The suspicion counts like a crash until the replica answers, is still listed after its lease, or is replaced. With two crashes a request needs a replica for itself that has answered since; with three it waits; with three confirmed ones it is stopped, for all services. An answer clears the request at all gateways. Coordinators return everything that the call itself does not report, and learn from gateways what they lost in a restart. Unconfirmed crashes travel in fields of their own, which earlier builds ignore.

The gateways' record is crash_ledger; quarantine keeps the part of the entry hosts.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -696,6 +696,7 @@
     LogEvent(Event::UpstreamCrashed,
              { { "upstream", strike.mUpstream },
                { "fingerprint", fmt::format("{:016x}", strike.mFingerprint) },
+               { "state", static_cast<int>(strike.mState) },
                { "host", strike.mHost } });
   }
 }
--- a/src/crash_exchange.cpp
+++ b/src/crash_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include "fleet_messages.h"
 
+#include <algorithm>
+
 namespace apricotyard {
 
 CrashExchange
@@ -12,23 +14,33 @@
                 rpc::FleetSyncReply& aReply)
 {
   CrashExchange result;
-  for (const rpc::UpstreamCrash& message : aRequest.crashes()) {
-    const auto strike = FromMessage(message);
-    if (!strike) {
-      result.mProblems.push_back(strike.error().mMessage);
-    } else if (Append(aLog, *strike, aNow)) {
-      result.mNew.push_back(*strike);
+  std::vector<Strike> reported;
+  for (const auto* const messages : { &aRequest.crashes(), &aRequest.unconfirmed_crashes() }) {
+    for (const rpc::UpstreamCrash& message : *messages) {
+      const auto strike = FromMessage(message);
+      if (!strike) {
+        result.mProblems.push_back(strike.error().mMessage);
+        continue;
+      }
+      reported.push_back(*strike);
+      if (Append(aLog, *strike, aNow)) {
+        result.mNew.push_back(*strike);
+      }
     }
   }
   std::uint64_t cursor =
     aRequest.cursor_incarnation() == aIncarnation ? aRequest.crash_cursor() : 0;
   for (const LoggedStrike* const logged : StrikesAfter(aLog, cursor)) {
     cursor = logged->mNumber;
-    if (logged->mStrike.mHost != aRequest.self().ip()) {
-      ToMessage(logged->mStrike, *aReply.add_crashes());
+    // A gateway that was restarted does not know what it reported before.
+    if (std::none_of(reported.begin(), reported.end(), [logged](const Strike& aStrike) {
+          return IsSameCrash(aStrike, logged->mStrike);
+        })) {
+      AddCrash(logged->mStrike, aReply);
     }
   }
   aReply.set_crash_cursor(cursor);
+  aReply.set_more_records(aReply.more_records() || cursor < aLog.mLastNumber);
   return result;
 }
 
--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -71,7 +71,8 @@
   absl::Mutex mMutex;
   rpc::FleetHost mSelf;
   DocumentIdentity mDocument;
-  std::vector<rpc::UpstreamCrash> mCrashes;
+  std::vector<Strike> mRecentCrashes;
+  std::vector<Strike> mKnownCrashes;
   // The link that fetches the document, and until when the other links do not fetch it themselves.
   std::string mFetchingLink;
   absl::Time mFetchReservedUntil = absl::InfinitePast();
@@ -190,7 +191,11 @@
     request.set_own_records_only(!WantsAllRecords());
     request.set_cursor(request.own_records_only() ? mOwnCursor : mAllCursor);
     request.set_cursor_incarnation(mCursorIncarnation);
-    request.mutable_crashes()->Assign(mShared.mCrashes.begin(), mShared.mCrashes.end());
+    mReportsKnownCrashes = mCursorIncarnation != mCrashesReportedTo;
+    for (const Strike& crash :
+         mReportsKnownCrashes ? mShared.mKnownCrashes : mShared.mRecentCrashes) {
+      AddCrash(crash, request);
+    }
     request.set_crash_cursor(mCrashCursor);
     request.set_wants_document(ReserveFetch());
     mAnnouncedPause = RegularPause(Status(), Pauses());
@@ -264,6 +269,7 @@
       }
       mOwnCursor = cursor;
       mCrashCursor = crashCursor;
+      mCrashesReportedTo = mReportsKnownCrashes ? incarnation : mCrashesReportedTo;
       mAllCursor = request.own_records_only() ? mAllCursor : cursor;
       mCursorIncarnation = incarnation;
     }
@@ -473,6 +479,9 @@
   std::uint64_t mAllCursor = 0;
   std::uint64_t mCrashCursor = 0;
   std::uint64_t mCursorIncarnation = 0;
+  // Whether the last request reported all known crashes, and the incarnation that got them last.
+  bool mReportsKnownCrashes = false;
+  std::uint64_t mCrashesReportedTo = 0;
   // The pause that the last request announced.
   Duration mAnnouncedPause{};
   std::uint64_t mSeenCallNowNumber = 0;
@@ -602,13 +611,11 @@
 }
 
 void
-FleetClient::SetCrashes(const std::vector<Strike>& aCrashes)
+FleetClient::SetCrashes(const std::vector<Strike>& aRecent, const std::vector<Strike>& aKnown)
 {
   absl::MutexLock lock(&mState->mShared.mMutex);
-  mState->mShared.mCrashes.clear();
-  for (const Strike& crash : aCrashes) {
-    ToMessage(crash, mState->mShared.mCrashes.emplace_back());
-  }
+  mState->mShared.mRecentCrashes = aRecent;
+  mState->mShared.mKnownCrashes = aKnown;
 }
 
 void
--- a/src/fleet_client.h
+++ b/src/fleet_client.h
@@ -64,8 +64,9 @@
   void SetLoad(double aLoad);
   // Sets the document that this host holds.
   void SetDocument(const DocumentIdentity& aDocument);
-  // Sets the crashes of upstreams that the next calls report.
-  void SetCrashes(const std::vector<Strike>& aCrashes);
+  // Sets the crashes of upstreams that the next calls report, and those that coordinators get once
+  // after they were started.
+  void SetCrashes(const std::vector<Strike>& aRecent, const std::vector<Strike>& aKnown);
   // Sets the pauses between two calls to the primary, FleetClientSettings::mPause by default, and
   // to another coordinator, which is never shorter.
   void SetPauses(Duration aPrimary, Duration aSecondary);
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -3,6 +3,8 @@
 #include "settings.h"
 
 #include <algorithm>
+#include <array>
+#include <optional>
 
 namespace apricotyard {
 
@@ -46,6 +48,28 @@
   return host;
 }
 
+namespace {
+
+// Numbers of the states on the wire, by CrashState.
+constexpr std::array<std::uint32_t, 3> kStateNumbers{ 1, 0, 2 };
+
+std::uint32_t
+ToNumber(CrashState aState)
+{
+  return kStateNumbers[static_cast<std::size_t>(aState)];
+}
+
+std::optional<CrashState>
+StateOfNumber(std::uint32_t aNumber)
+{
+  const auto found = std::find(kStateNumbers.begin(), kStateNumbers.end(), aNumber);
+  return found != kStateNumbers.end()
+           ? std::optional(static_cast<CrashState>(found - kStateNumbers.begin()))
+           : std::nullopt;
+}
+
+} // namespace
+
 void
 ToMessage(const Strike& aStrike, rpc::UpstreamCrash& aOut)
 {
@@ -54,6 +78,7 @@
   aOut.set_upstream(aStrike.mUpstream);
   aOut.set_incarnation(aStrike.mIncarnation);
   aOut.set_alone(aStrike.mAlone);
+  aOut.set_state(ToNumber(aStrike.mState));
 }
 
 Expected<Strike>
@@ -64,11 +89,12 @@
       aMessage.host().size() > kMaxNameLength || aMessage.upstream().size() > kMaxNameLength) {
     return Fail(Result::BadRequest, "the crash lacks a host or an upstream, or a name is too long");
   }
-  return Strike{ aMessage.fingerprint(),
-                 aMessage.host(),
-                 aMessage.upstream(),
-                 aMessage.incarnation(),
-                 aMessage.alone() };
+  const auto state = StateOfNumber(aMessage.state());
+  if (!state) {
+    return Fail(Result::BadRequest, "the state of the crash is unknown");
+  }
+  return Strike{ aMessage.fingerprint(), aMessage.host(),  aMessage.upstream(),
+                 aMessage.incarnation(), aMessage.alone(), *state };
 }
 
 DocumentIdentity
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -21,6 +21,16 @@
 Expected<Strike>
 FromMessage(const rpc::UpstreamCrash& aMessage);
 
+// Adds a crash to the field of a FleetSyncRequest or FleetSyncReply that holds crashes of its
+// state.
+template<typename Message>
+void
+AddCrash(const Strike& aStrike, Message& aOut)
+{
+  const bool confirmed = aStrike.mState == CrashState::Confirmed;
+  ToMessage(aStrike, confirmed ? *aOut.add_crashes() : *aOut.add_unconfirmed_crashes());
+}
+
 // The document that the sender holds.
 DocumentIdentity
 DocumentOf(const rpc::FleetSyncRequest& aRequest);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -54,6 +54,8 @@
 constexpr Duration kSubsetReportLifetime = std::chrono::seconds(15);
 // Interval at which old crashes are dropped from the reports.
 constexpr Duration kCrashReportInterval = std::chrono::seconds(5);
+// Most strikes that a coordinator gets after its start from one gateway.
+constexpr std::size_t kMaxKnownStrikes = 256;
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 
 class Gateway
@@ -398,15 +400,17 @@
 void
 Gateway::ApplyCrashes(const rpc::FleetSyncReply& aReply)
 {
-  for (const rpc::UpstreamCrash& message : aReply.crashes()) {
-    const auto strike = FromMessage(message);
-    if (!strike) {
-      LogEvent(Event::AnnouncementRejected, { { "reason", strike.error().mMessage } });
-      continue;
-    }
-    // Coordinators send the same crash once each. This gateway may have cleared the request since.
-    if (Append(mStrikes, *strike, SteadyNow())) {
-      mRelay.AddStrike(*strike);
+  for (const auto* const messages : { &aReply.crashes(), &aReply.unconfirmed_crashes() }) {
+    for (const rpc::UpstreamCrash& message : *messages) {
+      const auto strike = FromMessage(message);
+      if (!strike) {
+        LogEvent(Event::AnnouncementRejected, { { "reason", strike.error().mMessage } });
+        continue;
+      }
+      // Coordinators send the same crash once each.
+      if (Append(mStrikes, *strike, SteadyNow())) {
+        mRelay.AddStrike(*strike);
+      }
     }
   }
 }
@@ -414,7 +418,8 @@
 void
 Gateway::ReportCrashes()
 {
-  mClient->SetCrashes(StrikesToReport(mStrikes, mSelf.mIp, SteadyNow()));
+  mClient->SetCrashes(StrikesToReport(mStrikes, mSelf.mIp, SteadyNow()),
+                      mRelay.KnownStrikes(kMaxKnownStrikes));
 }
 
 void
@@ -528,6 +533,7 @@
   if (!expired.empty()) {
     PublishUpstreams();
   }
+  mRelay.ResolveSuspicions();
 }
 
 void
--- a/src/placement.h
+++ b/src/placement.h
@@ -49,6 +49,8 @@
   bool mHoldCut = false;
   // A request that may crash it is in flight there and must be the only one.
   bool mIsolated = false;
+  // When it last answered a request, or accepted a connection that was opened to check it.
+  TimePoint mHeardAt = TimePoint::min();
   // When an unreadable header of its replies was logged last.
   TimePoint mUnreadableLoggedAt = TimePoint::min();
 };
--- a/src/quarantine.cpp
+++ b/src/quarantine.cpp
@@ -12,11 +12,9 @@
 constexpr std::size_t kStrikesToStop = 2;
 
 bool
-IsStopped(const Quarantine& aQuarantine, const Suspect& aSuspect)
+IsStopped(const Suspect& aSuspect)
 {
-  const std::size_t strikes = aSuspect.mCrashes.size();
-  return (aSuspect.mProven && strikes >= kStrikesToStop) ||
-         (aQuarantine.mUnprovenStrikesToStop != 0 && strikes >= aQuarantine.mUnprovenStrikesToStop);
+  return aSuspect.mProven && aSuspect.mCrashes.size() >= kStrikesToStop;
 }
 
 void
@@ -67,7 +65,7 @@
     return Permission::Unrestricted;
   }
   const Suspect& suspect = found->second;
-  if (IsStopped(aQuarantine, suspect)) {
+  if (IsStopped(suspect)) {
     return Permission::Stopped;
   }
   if (suspect.mCrashes.empty() && suspect.mLossUntil <= aNow) {
@@ -182,15 +180,6 @@
   });
 }
 
-void
-ClearSuspicion(Quarantine& aQuarantine, Fingerprint aFingerprint)
-{
-  const auto found = aQuarantine.mSuspects.find(aFingerprint);
-  if (found != aQuarantine.mSuspects.end() && !found->second.mProven) {
-    found->second.mCrashes.clear();
-  }
-}
-
 void
 ExpireQuarantine(Quarantine& aQuarantine, TimePoint aNow)
 {
@@ -205,8 +194,7 @@
   std::vector<QuarantineEntry> entries;
   for (const auto& [expires, fingerprint] : aQuarantine.mExpiry) {
     const Suspect& suspect = aQuarantine.mSuspects.at(fingerprint);
-    entries.push_back(
-      { fingerprint, suspect.mCrashes.size(), IsStopped(aQuarantine, suspect), expires });
+    entries.push_back({ fingerprint, suspect.mCrashes.size(), IsStopped(suspect), expires });
   }
   return entries;
 }
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -29,7 +29,15 @@
 // Maximum number of suspects; beyond it, the one that expires first is dropped.
 inline constexpr std::size_t kMaxSuspects = 10'000;
 
-// One crash attributed to a fingerprint, as exchanged between entry hosts.
+// Whether an upstream crashed under a request. A later state replaces an earlier one.
+enum class CrashState : std::uint8_t
+{
+  Suspected, // the upstream gave no answer and no sign of life since
+  Confirmed, // its process has ended
+  Cleared,   // it did not crash, or not because of the request
+};
+
+// One crash attributed to a fingerprint, as exchanged between hosts.
 struct Strike
 {
   Fingerprint mFingerprint = 0;
@@ -40,6 +48,7 @@
   std::uint64_t mIncarnation = 0;
   // The fingerprint ran in isolation, so it caused the crash.
   bool mAlone = false;
+  CrashState mState = CrashState::Confirmed;
 };
 
 struct Suspect
@@ -68,9 +77,6 @@
 
 struct Quarantine
 {
-  // Strikes at which a fingerprint is stopped although no crash happened in isolation; 0 for none.
-  // For hosts that do not always find an upstream for an isolated attempt.
-  std::size_t mUnprovenStrikesToStop = 0;
   // By upstream. Losses older than the crash window are dropped when a new one is added.
   absl::flat_hash_map<std::string, std::vector<ConnectionLoss>> mLosses;
   absl::flat_hash_map<Fingerprint, Suspect> mSuspects;
@@ -140,10 +146,6 @@
                Fingerprint aFingerprint,
                std::span<const std::string> aUpstreams);
 
-// The same for crashes of any upstream, for fingerprints that include the service.
-void
-ClearSuspicion(Quarantine& aQuarantine, Fingerprint aFingerprint);
-
 // Removes expired entries.
 void
 ExpireQuarantine(Quarantine& aQuarantine, TimePoint aNow);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,5 +1,6 @@
 #include "relay.h"
 
+#include "crash_ledger.h"
 #include "forwarding.h"
 #include "log.h"
 #include "reachability.h"
@@ -66,9 +67,11 @@
 // After a lost connection, the address of the replica is checked at most once in this time.
 constexpr Duration kCrashCheckInterval = std::chrono::milliseconds(200);
 constexpr Duration kCrashCheckTimeout = std::chrono::milliseconds(1000);
-// Crashes of one service's replicas after which a request is stopped even if none of them happened
-// while it was the only request there: a busy gateway finds no replica for it alone.
-constexpr std::size_t kUnprovenStrikesToStop = 3;
+// A replica that answers nothing for this time is checked: a new connection is accepted by one that
+// is slow, but not by one whose host is down.
+constexpr Duration kCrashSilence = std::chrono::milliseconds(800);
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(250);
+constexpr Duration kSilenceCheckTimeout = std::chrono::milliseconds(400);
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 
@@ -118,6 +121,8 @@
   bool mObjectivePassed = false;
   bool mDeadlinePassed = false;
   bool mFinished = false;
+  // A crash was attributed to the content of the request.
+  bool mBlamed = false;
 };
 
 struct Attempt
@@ -189,6 +194,22 @@
   return MakeFingerprint(aSubrequest.mService, fmt::format("{:x}", *aRelayed.mContent));
 }
 
+// Identifies the content for all services, so that a verdict outlasts a change of the routes.
+Fingerprint
+ContentFingerprintOf(const RelayedRequest& aRelayed, const Subrequest& aSubrequest)
+{
+  FingerprintOf(aRelayed, aSubrequest);
+  return *aRelayed.mContent;
+}
+
+bool
+HasAnswer(const RelayedRequest& aRelayed)
+{
+  return std::any_of(aRelayed.mSubrequests.begin(),
+                     aRelayed.mSubrequests.end(),
+                     [](const Subrequest& aOne) { return aOne.mAnswered; });
+}
+
 bool
 MayHaveRun(const RelayedRequest& aRelayed)
 {
@@ -246,7 +267,7 @@
   {
     mLimits.mDataCentre = mSettings.mDataCentre;
     mLimits.mHost = mSettings.mSourceIp;
-    mQuarantine.mUnprovenStrikesToStop = kUnprovenStrikesToStop;
+    mLedger.mHost = mSettings.mSourceIp;
   }
 
   void StartRequest(const std::shared_ptr<RelayedRequest>& aRelayed);
@@ -315,10 +336,28 @@
   // Whether the sub-request must be alone at its replica, so that a crash tells whether it is the
   // cause.
   bool NeedsIsolation(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const;
+  Permission PermissionOf(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const;
+  // Whether a replica that may get an isolated request has answered since the last crash. Without
+  // one, the replicas may all be down for another reason.
+  bool HasProvenReplica(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const;
+  bool IsProven(const ReplicaView& aReplica, TimePoint aSince) const;
+  // Opens a connection to a replica of each service whose replicas were not heard since a crash.
+  void ProveReplicas(const RelayedRequest& aRelayed);
+  // Suspects that the replica crashed under the attempt.
+  void SuspectCrash(const Attempt& aAttempt, const ReplicaView& aReplica, std::string_view aSign);
   void HandlePossibleCrash(const Attempt& aAttempt,
                            const ReplicaView& aReplica,
-                           const ClientReply& aReply);
-  void ConfirmCrash(const std::string& aUpstream);
+                           const ClientReply& aReply,
+                           AttemptEnd aEnd);
+  void ConfirmCrash(const ReplicaRun& aRun, std::string_view aProof);
+  void RecordLife(const ReplicaRun& aRun, TimePoint aSentAt, std::string_view aSign);
+  void ClearRequest(const RelayedRequest& aRelayed, const Subrequest& aSubrequest);
+  // Looks for replicas that have been silent while requests wait for them.
+  void CheckSilentReplicas();
+  void OnSilenceChecked(const ReplicaRun& aRun, TimePoint aCheckedAt, ConnectOutcome aOutcome);
+  void PassStrikesOn(TimePoint aNow);
+  // Confirms the suspected crashes of replicas at whose address another one has started.
+  void ConfirmReplacedUpstreams(const std::vector<UpstreamInfo>& aUpstreams);
   void RecordAttemptEnd(const Attempt& aAttempt, AttemptEnd aEnd, const ClientReply& aReply);
   void ReleaseAttempt(Attempt& aAttempt);
   void CancelAttempt(AttemptId aAttemptId);
@@ -371,8 +410,10 @@
   // Limit on idle connections to all replicas together.
   std::size_t mMaxIdleConnections = 0;
   bool mActive = true;
-  // Requests that crash replicas, by the hash of service and content.
-  Quarantine mQuarantine;
+  // Requests that may crash replicas, by the hash of service and content and by that of the content
+  // alone.
+  CrashLedger mLedger;
+  TimerId mSilenceTimer = 0;
   // Replicas whose address is being checked for a listener.
   std::set<std::string> mCrashChecks;
   std::function<void(const Strike&)> mOnStrike;
@@ -398,6 +439,7 @@
 {
   mState->mLoop.CancelTimer(mState->mPreconnectTimer);
   mState->mLoop.CancelTimer(mState->mReachabilityTimer);
+  mState->mLoop.CancelTimer(mState->mSilenceTimer);
 }
 
 void
@@ -471,16 +513,37 @@
 void
 Relay::AddStrike(const Strike& aStrike)
 {
-  Quarantine& quarantine = mState->mQuarantine;
-  const TimePoint now = SteadyNow();
-  if (apricotyard::AddStrike(quarantine, aStrike, now) &&
-      Permit(quarantine, aStrike.mFingerprint, mState->mLimits.mHost, now) == Permission::Stopped) {
+  CrashLedger& ledger = mState->mLedger;
+  if (LearnStrike(ledger, aStrike, SteadyNow()) &&
+      Judge(ledger, aStrike.mFingerprint) == Permission::Stopped) {
     LogEvent(Event::RequestQuarantined,
              { { "fingerprint", fmt::format("{:016x}", aStrike.mFingerprint) },
                { "host", aStrike.mHost } });
   }
 }
 
+std::vector<Strike>
+Relay::KnownStrikes(std::size_t aLimit) const
+{
+  return RestrictingStrikes(mState->mLedger, aLimit);
+}
+
+void
+Relay::ResolveSuspicions()
+{
+  State& state = *mState;
+  const TimePoint now = SteadyNow();
+  for (const ReplicaRun& run : OverdueSuspicions(state.mLedger, now)) {
+    const auto replica = state.mReplicas.find(run.mUpstream);
+    if (replica != state.mReplicas.end() &&
+        replica->second->mInfo.mIncarnation == run.mIncarnation) {
+      state.RecordLife(run, now, "lease");
+    } else {
+      state.ConfirmCrash(run, "lease");
+    }
+  }
+}
+
 std::uint64_t
 Relay::SentSubrequests() const
 {
@@ -506,10 +569,7 @@
     counts.mHeld += replica->mHeldUntil > now ? 1 : 0;
   }
   state.mMetrics.SetReplicaCounts(counts);
-  ExpireQuarantine(state.mQuarantine, now);
-  const std::vector<QuarantineEntry> suspects = ListQuarantine(state.mQuarantine);
-  state.mMetrics.SetStoppedRequests(static_cast<std::size_t>(std::count_if(
-    suspects.begin(), suspects.end(), [](const auto& aEntry) { return aEntry.mStopped; })));
+  state.mMetrics.SetStoppedRequests(CountStopped(state.mLedger));
   for (auto& [name, service] : state.mServices) {
     state.mMetrics.SetBudgetUsed(
       name, ExtraBudgetUsed(service.mBudget, state.ExtraSendLimits(), state.mGatewayCount, now));
@@ -520,6 +580,7 @@
 Relay::SetUpstreams(const std::vector<UpstreamInfo>& aUpstreams)
 {
   std::set<std::string> listedIds;
+  mState->ConfirmReplacedUpstreams(aUpstreams);
   for (const UpstreamInfo& info : aUpstreams) {
     listedIds.insert(info.mId);
     std::unique_ptr<ReplicaView>& replica = mState->mReplicas[info.mId];
@@ -593,9 +654,9 @@
     Finish(aRelayed, MakeRefusal(Result::Stopping, "the gateway stops before it could answer"));
     return;
   }
-  ExpireQuarantine(mQuarantine, relayed.mArrivedAt);
   const bool servable = SelectSubrequests(relayed);
   if (!servable && (!mReachability.mCutOff || IsAnyStopped(relayed))) {
+    ProveReplicas(relayed);
     Finish(aRelayed,
            IsAnyStopped(relayed)
              ? MakeStoppedRefusal(relayed)
@@ -708,19 +769,25 @@
   UpdateConnectionState(service->second);
   std::span<ReplicaView* const> replicas = service->second.mReplicas;
   const std::set<std::string>& tried = aSubrequest.mTriedReplicas;
-  if (NeedsIsolation(aRelayed, aSubrequest)) {
-    std::set<std::string> excluded = tried;
-    for (const ReplicaView* const replica : replicas) {
-      if (!replica->mInFlightSince.empty()) {
-        excluded.insert(replica->mInfo.mId);
-      }
+  if (!NeedsIsolation(aRelayed, aSubrequest)) {
+    return ChooseReplica(replicas, tried, limits, typicalLatency, aNow, mRng);
+  }
+  const TimePoint lastStrikeAt = LastStrikeAt(mLedger, FingerprintOf(aRelayed, aSubrequest));
+  std::set<std::string> unproven = tried;
+  for (const ReplicaView* const replica : replicas) {
+    if (!IsProven(*replica, lastStrikeAt)) {
+      unproven.insert(replica->mInfo.mId);
     }
-    if (ReplicaView* const replica =
-          ChooseReplica(replicas, excluded, limits, typicalLatency, aNow, mRng)) {
-      return replica;
+  }
+  std::set<std::string> excluded = unproven;
+  for (const ReplicaView* const replica : replicas) {
+    if (!replica->mInFlightSince.empty()) {
+      excluded.insert(replica->mInfo.mId);
     }
   }
-  return ChooseReplica(replicas, tried, limits, typicalLatency, aNow, mRng);
+  ReplicaView* const idle = ChooseReplica(replicas, excluded, limits, typicalLatency, aNow, mRng);
+  return idle != nullptr ? idle
+                         : ChooseReplica(replicas, unproven, limits, typicalLatency, aNow, mRng);
 }
 
 const PlacementLimits&
@@ -903,7 +970,7 @@
   if (NeedsIsolation(*aRelayed, subrequest) && replica->mInFlightSince.empty()) {
     attempt.mIsolated = true;
     replica->mIsolated = true;
-    BeginSuspectRun(mQuarantine, FingerprintOf(*aRelayed, subrequest));
+    BeginIsolatedRun(mLedger, FingerprintOf(*aRelayed, subrequest));
   }
   subrequest.mTriedReplicas.insert(replica->mInfo.mId);
   subrequest.mActiveAttempts.insert(attemptId);
@@ -914,6 +981,9 @@
   if (mReachabilityTimer == 0) {
     ScheduleReachabilityCheck(kSuspiciousSilence);
   }
+  if (mSilenceTimer == 0) {
+    mSilenceTimer = mLoop.AddTimer(now + kSilenceCheckInterval, [this] { CheckSilentReplicas(); });
+  }
   CountRequest(replica->mRequestLimit, now);
   if (attempt.mIsFirstSend) {
     CountFirstSend(mServices[subrequest.mService].mBudget, mSettings.mExtraSends, now);
@@ -1256,7 +1326,7 @@
   mLoop.CancelTimer(aAttempt.mGraceTimer);
   if (aAttempt.mIsolated) {
     const RelayedRequest& owner = *aAttempt.mOwner;
-    EndSuspectRun(mQuarantine, FingerprintOf(owner, owner.mSubrequests[aAttempt.mSubrequestIndex]));
+    EndIsolatedRun(mLedger, FingerprintOf(owner, owner.mSubrequests[aAttempt.mSubrequestIndex]));
   }
   if (const auto replica = mReplicas.find(aAttempt.mUpstream); replica != mReplicas.end()) {
     replica->second->mIsolated &= !aAttempt.mIsolated;
@@ -1267,18 +1337,22 @@
   }
 }
 
+Permission
+Relay::State::PermissionOf(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const
+{
+  if (mLedger.mRequests.empty()) {
+    return Permission::Unrestricted;
+  }
+  return std::max(Judge(mLedger, FingerprintOf(aRelayed, aSubrequest)),
+                  Judge(mLedger, ContentFingerprintOf(aRelayed, aSubrequest)));
+}
+
 bool
 Relay::State::IsStopped(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const
 {
-  if (mQuarantine.mSuspects.empty()) {
-    return false;
-  }
-  const Fingerprint fingerprint = FingerprintOf(aRelayed, aSubrequest);
-  if (!IsSuspect(mQuarantine, fingerprint)) {
-    return false;
-  }
-  const Permission permission = Permit(mQuarantine, fingerprint, mLimits.mHost, SteadyNow());
-  return permission == Permission::Stopped || permission == Permission::Busy;
+  const Permission permission = PermissionOf(aRelayed, aSubrequest);
+  return permission == Permission::Stopped || permission == Permission::Busy ||
+         (permission == Permission::Alone && !HasProvenReplica(aRelayed, aSubrequest));
 }
 
 bool
@@ -1292,57 +1366,245 @@
 bool
 Relay::State::NeedsIsolation(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const
 {
-  return !mQuarantine.mSuspects.empty() &&
-         IsSuspect(mQuarantine, FingerprintOf(aRelayed, aSubrequest));
+  return PermissionOf(aRelayed, aSubrequest) != Permission::Unrestricted;
+}
+
+bool
+Relay::State::IsProven(const ReplicaView& aReplica, TimePoint aSince) const
+{
+  return IsUsable(aReplica) && aReplica.mHeardAt > aSince;
+}
+
+bool
+Relay::State::HasProvenReplica(const RelayedRequest& aRelayed, const Subrequest& aSubrequest) const
+{
+  const auto service = mServices.find(aSubrequest.mService);
+  const TimePoint since = LastStrikeAt(mLedger, FingerprintOf(aRelayed, aSubrequest));
+  return service != mServices.end() &&
+         std::any_of(service->second.mReplicas.begin(),
+                     service->second.mReplicas.end(),
+                     [&](const ReplicaView* aReplica) { return IsProven(*aReplica, since); });
 }
 
-// A crashed replica closes its connections, and its address refuses new ones. A replica that only
-// lost a connection, or that is out of reach, does not refuse.
+void
+Relay::State::ProveReplicas(const RelayedRequest& aRelayed)
+{
+  for (const Subrequest& subrequest : aRelayed.mSubrequests) {
+    if (PermissionOf(aRelayed, subrequest) != Permission::Alone ||
+        HasProvenReplica(aRelayed, subrequest)) {
+      continue;
+    }
+    std::vector<const ReplicaView*> usable;
+    for (const ReplicaView* const replica : mServices[subrequest.mService].mReplicas) {
+      if (IsUsable(*replica) && !mCrashChecks.contains(replica->mInfo.mId)) {
+        usable.push_back(replica);
+      }
+    }
+    if (usable.empty()) {
+      continue;
+    }
+    const UpstreamInfo& info =
+      usable[std::uniform_int_distribution<std::size_t>(0, usable.size() - 1)(mRng)]->mInfo;
+    mCrashChecks.insert(info.mId);
+    mClient.CheckConnection(
+      info.mAddress,
+      kSilenceCheckTimeout,
+      [this, run = ReplicaRun{ info.mId, info.mIncarnation }](ConnectOutcome aOutcome) {
+        mCrashChecks.erase(run.mUpstream);
+        const auto replica = mReplicas.find(run.mUpstream);
+        if (aOutcome == ConnectOutcome::Accepted && replica != mReplicas.end()) {
+          replica->second->mHeardAt = SteadyNow();
+        }
+      });
+  }
+}
+
+void
+Relay::State::SuspectCrash(const Attempt& aAttempt,
+                           const ReplicaView& aReplica,
+                           std::string_view aSign)
+{
+  // A gateway that is cut off loses connections to all replicas, and one that leaves ends them.
+  if (mReachability.mCutOff || aReplica.mLeaving || aReplica.mInfo.mState != UpstreamState::Ready) {
+    return;
+  }
+  const TimePoint now = SteadyNow();
+  RelayedRequest& owner = *aAttempt.mOwner;
+  const Subrequest& subrequest = owner.mSubrequests[aAttempt.mSubrequestIndex];
+  const ReplicaRun run{ aReplica.mInfo.mId, aReplica.mInfo.mIncarnation };
+  const Fingerprint fingerprint = FingerprintOf(owner, subrequest);
+  if (!apricotyard::SuspectCrash(mLedger, fingerprint, run, aAttempt.mSentAt, now)) {
+    return;
+  }
+  const Fingerprint content = ContentFingerprintOf(owner, subrequest);
+  // One strike a request: a gather reaches replicas of all services at the same time.
+  if (!owner.mBlamed && !HasAnswer(owner)) {
+    owner.mBlamed = true;
+    apricotyard::SuspectCrash(mLedger, content, run, aAttempt.mSentAt, now);
+  }
+  LogEvent(Event::CrashSuspected,
+           { { "request", owner.mId },
+             { "upstream", run.mUpstream },
+             { "fingerprint", fmt::format("{:016x}", fingerprint) },
+             { "content", fmt::format("{:016x}", content) },
+             { "sign", std::string(aSign) },
+             { "in_flight", aReplica.mInFlightSince.size() },
+             { "alone", aAttempt.mIsolated } });
+}
+
+// A crashed replica closes its connections, and its address refuses new ones, unless its host is
+// down as well.
 void
 Relay::State::HandlePossibleCrash(const Attempt& aAttempt,
                                   const ReplicaView& aReplica,
-                                  const ClientReply& aReply)
+                                  const ClientReply& aReply,
+                                  AttemptEnd aEnd)
 {
-  const std::string& upstream = aAttempt.mUpstream;
+  const ReplicaRun run{ aReplica.mInfo.mId, aReplica.mInfo.mIncarnation };
   if (aReply.mRefused) {
-    ConfirmCrash(upstream);
+    ConfirmCrash(run, "refused");
+  } else if (aEnd == AttemptEnd::Misplaced) {
+    ConfirmCrash(run, "replaced");
   }
   if (aReply.mEnd != TransferEnd::Lost || !aReply.mConnectionEnded) {
     return;
   }
-  const RelayedRequest& owner = *aAttempt.mOwner;
-  AddConnectionLoss(mQuarantine,
-                    upstream,
-                    { FingerprintOf(owner, owner.mSubrequests[aAttempt.mSubrequestIndex]),
-                      aReplica.mInfo.mIncarnation,
-                      aAttempt.mIsolated,
-                      SteadyNow() });
-  if (mCrashChecks.insert(upstream).second) {
+  SuspectCrash(aAttempt, aReplica, "connection_ended");
+  if (mCrashChecks.insert(run.mUpstream).second) {
     mLoop.AddTimer(SteadyNow() + kCrashCheckInterval,
-                   [this, upstream] { mCrashChecks.erase(upstream); });
+                   [this, upstream = run.mUpstream] { mCrashChecks.erase(upstream); });
     mClient.CheckConnection(
-      aReplica.mInfo.mAddress, kCrashCheckTimeout, [this, upstream](ConnectOutcome aOutcome) {
+      aReplica.mInfo.mAddress, kCrashCheckTimeout, [this, run](ConnectOutcome aOutcome) {
         if (aOutcome == ConnectOutcome::Refused) {
-          ConfirmCrash(upstream);
+          ConfirmCrash(run, "refused");
         }
       });
   }
 }
 
 void
-Relay::State::ConfirmCrash(const std::string& aUpstream)
+Relay::State::ConfirmCrash(const ReplicaRun& aRun, std::string_view aProof)
+{
+  for (const Fingerprint confirmed : apricotyard::ConfirmCrash(mLedger, aRun, SteadyNow())) {
+    const std::string fingerprint = fmt::format("{:016x}", confirmed);
+    LogEvent(Event::UpstreamCrashed,
+             { { "upstream", aRun.mUpstream },
+               { "fingerprint", fingerprint },
+               { "proof", std::string(aProof) } });
+    if (Judge(mLedger, confirmed) == Permission::Stopped) {
+      LogEvent(Event::RequestQuarantined,
+               { { "fingerprint", fingerprint }, { "host", mLedger.mHost } });
+    }
+  }
+}
+
+void
+Relay::State::RecordLife(const ReplicaRun& aRun, TimePoint aSentAt, std::string_view aSign)
 {
+  for (const Fingerprint cleared : apricotyard::RecordLife(mLedger, aRun, aSentAt)) {
+    LogEvent(Event::CrashCleared,
+             { { "upstream", aRun.mUpstream },
+               { "fingerprint", fmt::format("{:016x}", cleared) },
+               { "sign", std::string(aSign) } });
+  }
+}
+
+void
+Relay::State::ClearRequest(const RelayedRequest& aRelayed, const Subrequest& aSubrequest)
+{
+  if (mLedger.mRequests.empty()) {
+    return;
+  }
   const TimePoint now = SteadyNow();
-  for (const Strike& strike :
-       apricotyard::ConfirmCrash(mQuarantine, aUpstream, mLimits.mHost, now)) {
-    const std::string fingerprint = fmt::format("{:016x}", strike.mFingerprint);
-    LogEvent(
-      Event::UpstreamCrashed,
-      { { "upstream", aUpstream }, { "fingerprint", fingerprint }, { "alone", strike.mAlone } });
-    if (Permit(mQuarantine, strike.mFingerprint, mLimits.mHost, now) == Permission::Stopped) {
-      LogEvent(Event::RequestQuarantined,
-               { { "fingerprint", fingerprint }, { "host", strike.mHost } });
+  for (const Fingerprint fingerprint :
+       { FingerprintOf(aRelayed, aSubrequest), ContentFingerprintOf(aRelayed, aSubrequest) }) {
+    if (apricotyard::ClearRequest(mLedger, fingerprint, now)) {
+      LogEvent(Event::CrashCleared,
+               { { "request", aRelayed.mId },
+                 { "fingerprint", fmt::format("{:016x}", fingerprint) },
+                 { "sign", "answer" } });
     }
+  }
+}
+
+void
+Relay::State::CheckSilentReplicas()
+{
+  mSilenceTimer = 0;
+  const TimePoint now = SteadyNow();
+  ExpireLedger(mLedger, now);
+  PassStrikesOn(now);
+  if (!mAttempts.empty() || !mLedger.mReports.empty()) {
+    mSilenceTimer = mLoop.AddTimer(now + kSilenceCheckInterval, [this] { CheckSilentReplicas(); });
+  }
+  if (mReachability.mCutOff) {
+    return;
+  }
+  for (const auto& [id, replica] : mReplicas) {
+    const std::multiset<TimePoint>& inFlight = replica->mInFlightSince;
+    if (inFlight.empty() || *inFlight.begin() + kCrashSilence > now ||
+        replica->mHeardAt >= *inFlight.begin() || !mCrashChecks.insert(id).second) {
+      continue;
+    }
+    mClient.CheckConnection(replica->mInfo.mAddress,
+                            kSilenceCheckTimeout,
+                            [this, run = ReplicaRun{ id, replica->mInfo.mIncarnation }, now](
+                              ConnectOutcome aOutcome) { OnSilenceChecked(run, now, aOutcome); });
+  }
+}
+
+void
+Relay::State::OnSilenceChecked(const ReplicaRun& aRun,
+                               TimePoint aCheckedAt,
+                               ConnectOutcome aOutcome)
+{
+  mCrashChecks.erase(aRun.mUpstream);
+  const auto replica = mReplicas.find(aRun.mUpstream);
+  if (replica == mReplicas.end() || replica->second->mInfo.mIncarnation != aRun.mIncarnation) {
+    return;
+  }
+  if (aOutcome == ConnectOutcome::Accepted) {
+    replica->second->mHeardAt = SteadyNow();
+    RecordLife(aRun, aCheckedAt, "connection");
+    return;
+  }
+  for (const auto& [id, attempt] : mAttempts) {
+    if (attempt.mUpstream == aRun.mUpstream && attempt.mSentAt + kCrashSilence <= aCheckedAt &&
+        attempt.mSentAt > replica->second->mHeardAt && mClient.IsSent(attempt.mTransfer)) {
+      SuspectCrash(attempt, *replica->second, "silent");
+    }
+  }
+  if (aOutcome == ConnectOutcome::Refused) {
+    ConfirmCrash(aRun, "refused");
+  }
+}
+
+void
+Relay::State::ConfirmReplacedUpstreams(const std::vector<UpstreamInfo>& aUpstreams)
+{
+  const auto isReplaced = [&](const ReplicaRun& aRun) {
+    const auto replica = mReplicas.find(aRun.mUpstream);
+    return replica != mReplicas.end() && replica->second->mInfo.mIncarnation == aRun.mIncarnation &&
+           std::any_of(aUpstreams.begin(), aUpstreams.end(), [&](const UpstreamInfo& aInfo) {
+             return aInfo.mAddress == replica->second->mInfo.mAddress &&
+                    (aInfo.mId != aRun.mUpstream || aInfo.mIncarnation > aRun.mIncarnation);
+           });
+  };
+  std::vector<ReplicaRun> replaced;
+  for (const auto& [run, crash] : mLedger.mCrashes) {
+    if (crash.mSuspected && isReplaced(run)) {
+      replaced.push_back(run);
+    }
+  }
+  for (const ReplicaRun& run : replaced) {
+    ConfirmCrash(run, "replaced");
+  }
+}
+
+void
+Relay::State::PassStrikesOn(TimePoint aNow)
+{
+  for (const Strike& strike : TakeReports(mLedger, aNow)) {
     if (mOnStrike) {
       mOnStrike(strike);
     }
@@ -1366,11 +1628,15 @@
   if (const auto idle = KeepAliveTimeout(aReply.Header("keep-alive"))) {
     replica->second->mIdleTimeout = *idle;
   }
-  HandlePossibleCrash(aAttempt, *replica->second, aReply);
-  if (aAttempt.mIsolated && (aEnd == AttemptEnd::Answered || aEnd == AttemptEnd::RanAndFailed)) {
+  HandlePossibleCrash(aAttempt, *replica->second, aReply, aEnd);
+  if (aReply.mEnd == TransferEnd::Complete && aEnd != AttemptEnd::Misplaced) {
+    replica->second->mHeardAt = now;
+    RecordLife(
+      { aAttempt.mUpstream, replica->second->mInfo.mIncarnation }, aAttempt.mSentAt, "reply");
+  }
+  if (aEnd == AttemptEnd::Answered || aEnd == AttemptEnd::RanAndFailed) {
     const RelayedRequest& owner = *aAttempt.mOwner;
-    ClearSuspicion(mQuarantine,
-                   FingerprintOf(owner, owner.mSubrequests[aAttempt.mSubrequestIndex]));
+    ClearRequest(owner, owner.mSubrequests[aAttempt.mSubrequestIndex]);
   }
   RouteLatencies& latencies = LatenciesOf(*aAttempt.mOwner);
   const Duration typicalLatency = TypicalLatency(latencies.mAll, route.mObjective);
@@ -1621,10 +1887,14 @@
 {
   const TimePoint now = SteadyNow();
   TimePoint until = now;
+  std::vector<Fingerprint> fingerprints;
   for (const Subrequest& subrequest : aRelayed.mSubrequests) {
-    const Fingerprint fingerprint = FingerprintOf(aRelayed, subrequest);
-    if (Permit(mQuarantine, fingerprint, mLimits.mHost, now) == Permission::Stopped) {
-      until = std::max(until, SuspectUntil(mQuarantine, fingerprint, now));
+    fingerprints.push_back(FingerprintOf(aRelayed, subrequest));
+    fingerprints.push_back(ContentFingerprintOf(aRelayed, subrequest));
+  }
+  for (const Fingerprint fingerprint : fingerprints) {
+    if (Judge(mLedger, fingerprint) == Permission::Stopped) {
+      until = std::max(until, LastStrikeAt(mLedger, fingerprint) + kQuarantineTime);
     }
   }
   constexpr std::string_view kMessage = "equal requests crashed replicas; not run";
--- a/src/relay.h
+++ b/src/relay.h
@@ -55,8 +55,13 @@
   // Sets the function that gets each crash of a replica that this gateway attributes to a request,
   // for the other gateways.
   void SetStrikeHandler(std::function<void(const Strike&)> aHandler);
-  // Records a crash that another gateway saw.
+  // Records a crash that another gateway saw or suspects, or that was refuted.
   void AddStrike(const Strike& aStrike);
+  // Returns the crashes because of which requests are restricted, at most aLimit.
+  std::vector<Strike> KnownStrikes(std::size_t aLimit) const;
+  // Decides on crashes that have been suspected for long, by whether the replica is still listed.
+  // Precondition: SetUpstreams was called with the replicas whose lease has not ended.
+  void ResolveSuspicions();
 
   // Sets the function that is called when this gateway has lost or regained all replicas.
   void SetReachabilityHandler(std::function<void()> aHandler);
--- a/src/strike_log.cpp
+++ b/src/strike_log.cpp
@@ -4,17 +4,14 @@
 
 namespace apricotyard {
 
-namespace {
-
 bool
-IsSame(const Strike& aLeft, const Strike& aRight)
+IsSameCrash(const Strike& aLeft, const Strike& aRight)
 {
   return aLeft.mFingerprint == aRight.mFingerprint && aLeft.mIncarnation == aRight.mIncarnation &&
-         aLeft.mAlone == aRight.mAlone && aLeft.mUpstream == aRight.mUpstream;
+         aLeft.mAlone == aRight.mAlone && aLeft.mState == aRight.mState &&
+         aLeft.mUpstream == aRight.mUpstream;
 }
 
-} // namespace
-
 bool
 Append(StrikeLog& aLog, const Strike& aStrike, TimePoint aNow)
 {
@@ -23,7 +20,7 @@
     aLog.mStrikes.pop_front();
   }
   if (std::any_of(aLog.mStrikes.begin(), aLog.mStrikes.end(), [&aStrike](const auto& aLogged) {
-        return IsSame(aLogged.mStrike, aStrike);
+        return IsSameCrash(aLogged.mStrike, aStrike);
       })) {
     return false;
   }
--- a/src/strike_log.h
+++ b/src/strike_log.h
@@ -37,6 +37,10 @@
   std::uint64_t mLastNumber = 0;
 };
 
+// Whether both are the same crash in the same state, whoever reported it.
+bool
+IsSameCrash(const Strike& aLeft, const Strike& aRight);
+
 // Adds a strike and drops those older than kQuarantineTime. Returns false if it is already listed.
 bool
 Append(StrikeLog& aLog, const Strike& aStrike, TimePoint aNow);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -162,6 +162,12 @@
     return Send(std::move(request));
   }
 
+  void RunFor(Duration aTime)
+  {
+    mLoop.AddTimer(SteadyNow() + aTime, [this] { mLoop.Stop(); });
+    mLoop.Run();
+  }
+
   Loop& EventLoop() { return mLoop; }
   Relay& TestedRelay() { return mRelay; }
   // True if the exported metrics contain this line.
@@ -1054,6 +1060,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), replica.mReceived.size());
   }
 
+  // Time after which crashes have been passed on, with room for a busy host.
+  static constexpr milliseconds kCrashReportTime{ 1500 };
+
   void RequestThatCrashesReplicasIsStopped()
   {
     RelayFixture fixture;
@@ -1094,9 +1103,12 @@
       CrashingFleet fleet(fixture, SingleServiceRoute(true), 4);
       fixture.TestedRelay().SetStrikeHandler(
         [&](const Strike& aStrike) { strikes.push_back(aStrike); });
-      fixture.Get("/crash");
-      fleet.Restart();
-      fixture.Get("/crash");
+      for (int i = 0; i < 2; ++i) {
+        fixture.Get("/crash");
+        fleet.Restart();
+        CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+      }
+      fixture.RunFor(kCrashReportTime);
     }
     RelayFixture fixture;
     CrashingFleet fleet(fixture, SingleServiceRoute(true), 4);
