Stop a request that crashes replicas at all services, and test the record of crashes

Cause: a verdict was kept by service, so a changed route, a split of the traffic or other shards let the request crash replicas again. With the content counted once a request, a route to one service needed one more crash at the next service; now each crash of such a route counts. Change: crashes carry whether their fingerprint is of the content alone, so that the metric counts a request once. Tests: CrashLedgerTest; CrashExchangeTest for a restarted gateway, for messages to and from the build before, and for long lists; RelayTest::VerdictOutlastsChangeOfTheService, which failed before (200 instead of 503).

--- a/src/crash_ledger.cpp
+++ b/src/crash_ledger.cpp
@@ -99,6 +99,7 @@
 bool
 SuspectCrash(CrashLedger& aLedger,
              Fingerprint aFingerprint,
+             bool aOfContent,
              const ReplicaRun& aRun,
              TimePoint aSentAt,
              TimePoint aNow)
@@ -113,6 +114,7 @@
     return false;
   }
   crash.mFingerprints.insert(aFingerprint);
+  request.mOfContent = aOfContent;
   request.mLastStrikeAt = aNow;
   aLedger.mReports.push_back({ aNow + kSuspectedReportDelay, aFingerprint, aRun });
   LimitRequests(aLedger);
@@ -179,6 +181,7 @@
   const auto [strike, isNew] =
     request.mStrikes.try_emplace(run, LedgerStrike{ aStrike.mState, true });
   strike->second.mShared = true;
+  request.mOfContent = aStrike.mOfContent;
   const bool changed = isNew || strike->second.mState < aStrike.mState;
   strike->second.mState = std::max(strike->second.mState, aStrike.mState);
   if (isNew) {
@@ -277,7 +280,8 @@
                         report.mRun.mUpstream,
                         report.mRun.mIncarnation,
                         false,
-                        strike->second.mState });
+                        strike->second.mState,
+                        request->second.mOfContent });
   }
   aLedger.mReports = std::move(later);
   return strikes;
@@ -304,10 +308,14 @@
 std::size_t
 CountStopped(const CrashLedger& aLedger)
 {
-  return static_cast<std::size_t>(
-    std::count_if(aLedger.mRequests.begin(), aLedger.mRequests.end(), [](const auto& aEntry) {
-      return IsStopped(aEntry.second);
-    }));
+  std::size_t atServices = 0;
+  std::size_t everywhere = 0;
+  for (const auto& [fingerprint, request] : aLedger.mRequests) {
+    if (IsStopped(request)) {
+      ++(request.mOfContent ? everywhere : atServices);
+    }
+  }
+  return std::max(atServices, everywhere);
 }
 
 void
--- a/src/crash_ledger.h
+++ b/src/crash_ledger.h
@@ -49,6 +49,8 @@
 struct LedgerRequest
 {
   std::map<ReplicaRun, LedgerStrike> mStrikes;
+  // The fingerprint is of the content alone, without the service.
+  bool mOfContent = false;
   TimePoint mLastStrikeAt;
   // Isolated attempts that are running on this host.
   std::uint32_t mRunning = 0;
@@ -78,11 +80,13 @@
   std::deque<Report> mReports;
 };
 
-// Suspects that aRun crashed under a request that was sent at aSentAt. Returns false, and blames
+// Suspects that aRun crashed under a request that was sent at aSentAt. aOfContent tells that the
+// fingerprint does not include the service. Returns false, and blames
 // nothing on the request, if the crash was known before it was sent, or if the strike is not new.
 bool
 SuspectCrash(CrashLedger& aLedger,
              Fingerprint aFingerprint,
+             bool aOfContent,
              const ReplicaRun& aRun,
              TimePoint aSentAt,
              TimePoint aNow);
@@ -134,7 +138,8 @@
 std::vector<Strike>
 RestrictingStrikes(const CrashLedger& aLedger, std::size_t aLimit);
 
-// Number of requests that are stopped.
+// Number of requests that are stopped. A request that is stopped both at a service and everywhere
+// counts once.
 std::size_t
 CountStopped(const CrashLedger& aLedger);
 
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -79,6 +79,7 @@
   aOut.set_incarnation(aStrike.mIncarnation);
   aOut.set_alone(aStrike.mAlone);
   aOut.set_state(ToNumber(aStrike.mState));
+  aOut.set_of_content(aStrike.mOfContent);
 }
 
 Expected<Strike>
@@ -94,7 +95,8 @@
     return Fail(Result::BadRequest, "the state of the crash is unknown");
   }
   return Strike{ aMessage.fingerprint(), aMessage.host(),  aMessage.upstream(),
-                 aMessage.incarnation(), aMessage.alone(), *state };
+                 aMessage.incarnation(), aMessage.alone(), *state,
+                 aMessage.of_content() };
 }
 
 DocumentIdentity
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -49,6 +49,8 @@
   // The fingerprint ran in isolation, so it caused the crash.
   bool mAlone = false;
   CrashState mState = CrashState::Confirmed;
+  // The fingerprint is of the content alone, without the service.
+  bool mOfContent = false;
 };
 
 struct Suspect
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1433,14 +1433,14 @@
   const Subrequest& subrequest = owner.mSubrequests[aAttempt.mSubrequestIndex];
   const ReplicaRun run{ aReplica.mInfo.mId, aReplica.mInfo.mIncarnation };
   const Fingerprint fingerprint = FingerprintOf(owner, subrequest);
-  if (!apricotyard::SuspectCrash(mLedger, fingerprint, run, aAttempt.mSentAt, now)) {
+  if (!apricotyard::SuspectCrash(mLedger, fingerprint, false, run, aAttempt.mSentAt, now)) {
     return;
   }
   const Fingerprint content = ContentFingerprintOf(owner, subrequest);
-  // One strike a request: a gather reaches replicas of all services at the same time.
-  if (!owner.mBlamed && !HasAnswer(owner)) {
+  // A gather reaches replicas of all services at the same time, so that all its crashes are one.
+  if (owner.mRoute->mTarget == RouteTarget::OneService || (!owner.mBlamed && !HasAnswer(owner))) {
     owner.mBlamed = true;
-    apricotyard::SuspectCrash(mLedger, content, run, aAttempt.mSentAt, now);
+    apricotyard::SuspectCrash(mLedger, content, true, run, aAttempt.mSentAt, now);
   }
   LogEvent(Event::CrashSuspected,
            { { "request", owner.mId },
--- a/tests/test_crash_exchange.cpp
+++ b/tests/test_crash_exchange.cpp
@@ -76,6 +76,10 @@
   CPPUNIT_TEST(CrashesReachGatewaysOfOtherCoordinators);
   CPPUNIT_TEST(RestartedCoordinatorLearnsRecentCrashes);
   CPPUNIT_TEST(RestartedGatewayLearnsAllCrashes);
+  CPPUNIT_TEST(RestartedGatewayLearnsWhatItReportedBefore);
+  CPPUNIT_TEST(EarlierBuildsSeeConfirmedCrashesOnly);
+  CPPUNIT_TEST(CrashesOfEarlierBuildsAreConfirmed);
+  CPPUNIT_TEST(GatewayAsksAtOnceForTheRest);
   CPPUNIT_TEST(UnreadableCrashIsReportedAndOthersHold);
   CPPUNIT_TEST_SUITE_END();
 
@@ -117,6 +121,72 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, restarted.KnownCrashes());
   }
 
+  void RestartedGatewayLearnsWhatItReportedBefore()
+  {
+    mFirst.SeeCrash(1, mNow);
+    mFirst.Call(mCoordinators[0], mNow);
+    rpc::FleetSyncRequest request;
+    request.mutable_self()->set_ip("10.0.0.1");
+    rpc::FleetSyncReply reply;
+    ExchangeCrashes(mCoordinators[0].mLog, request, 1, mNow, reply);
+    CPPUNIT_ASSERT_EQUAL(1, reply.crashes_size());
+  }
+
+  // An earlier build takes all that it reads for confirmed.
+  void EarlierBuildsSeeConfirmedCrashesOnly()
+  {
+    rpc::FleetSyncRequest request;
+    for (const CrashState state :
+         { CrashState::Suspected, CrashState::Confirmed, CrashState::Cleared }) {
+      AddCrash({ 7, "10.0.0.1", "i-1", 1, false, state }, request);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, request.crashes_size());
+    CPPUNIT_ASSERT_EQUAL(2, request.unconfirmed_crashes_size());
+    rpc::FleetSyncReply reply;
+    CPPUNIT_ASSERT_EQUAL(
+      std::size_t{ 3 },
+      ExchangeCrashes(mCoordinators[0].mLog, request, 1, mNow, reply).mNew.size());
+    rpc::FleetSyncReply toOther;
+    ExchangeCrashes(mCoordinators[0].mLog, {}, 1, mNow, toOther);
+    CPPUNIT_ASSERT_EQUAL(1, toOther.crashes_size());
+    CPPUNIT_ASSERT(!toOther.crashes(0).alone());
+    CPPUNIT_ASSERT(FromMessage(toOther.crashes(0))->mState == CrashState::Confirmed);
+    CPPUNIT_ASSERT_EQUAL(2, toOther.unconfirmed_crashes_size());
+    CPPUNIT_ASSERT(FromMessage(toOther.unconfirmed_crashes(0))->mState == CrashState::Suspected);
+    CPPUNIT_ASSERT(FromMessage(toOther.unconfirmed_crashes(1))->mState == CrashState::Cleared);
+  }
+
+  void CrashesOfEarlierBuildsAreConfirmed()
+  {
+    rpc::UpstreamCrash message;
+    message.set_fingerprint(7);
+    message.set_host("10.0.0.1");
+    message.set_upstream("i-1");
+    message.set_incarnation(1);
+    message.set_alone(true);
+    CPPUNIT_ASSERT(FromMessage(message)->mState == CrashState::Confirmed);
+    constexpr std::uint32_t kUnknownState = 3;
+    message.set_state(kUnknownState);
+    CPPUNIT_ASSERT(!FromMessage(message));
+  }
+
+  void GatewayAsksAtOnceForTheRest()
+  {
+    for (std::uint64_t i = 0; i <= kMaxStrikesPerMessage; ++i) {
+      Append(mCoordinators[0].mLog, { 7, "10.0.0.1", "i-1", i, false }, mNow);
+    }
+    rpc::FleetSyncRequest request;
+    rpc::FleetSyncReply reply;
+    ExchangeCrashes(mCoordinators[0].mLog, request, 1, mNow, reply);
+    CPPUNIT_ASSERT(reply.more_records());
+    request.set_cursor_incarnation(1);
+    request.set_crash_cursor(reply.crash_cursor());
+    rpc::FleetSyncReply rest;
+    ExchangeCrashes(mCoordinators[0].mLog, request, 1, mNow, rest);
+    CPPUNIT_ASSERT_EQUAL(1, rest.crashes_size());
+    CPPUNIT_ASSERT(!rest.more_records());
+  }
+
   void UnreadableCrashIsReportedAndOthersHold()
   {
     rpc::FleetSyncRequest request;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -398,6 +398,7 @@
   CPPUNIT_TEST(GatherThatCrashesReplicasIsStopped);
   CPPUNIT_TEST(RequestThatCrashesReplicasAtOtherGatewaysIsStopped);
   CPPUNIT_TEST(RequestLostInUnrelatedCrashesIsServed);
+  CPPUNIT_TEST(VerdictOutlastsChangeOfTheService);
   CPPUNIT_TEST(LostConnectionsAloneStopNothing);
   CPPUNIT_TEST(GatewayWithoutReplicasPassesRequestsOn);
   CPPUNIT_TEST(RequestIsPassedOnOnce);
@@ -1138,6 +1139,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 6 }, fleet.Crashes("s"));
   }
 
+  void VerdictOutlastsChangeOfTheService()
+  {
+    RelayFixture fixture;
+    CrashingFleet fleet(fixture, SingleServiceRoute(true), 4);
+    for (int i = 0; i < 4; ++i) {
+      fixture.Get("/crash");
+      fleet.Restart();
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+    }
+    FakeReplica& other = fixture.AddReplica("t", RespondWith(200, "", "s1"));
+    Route route = SingleServiceRoute(true);
+    route.mServices = { { "t", 1 } };
+    fixture.Publish(route);
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/crash").mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, other.mReceived.size());
+  }
+
   void LostConnectionsAloneStopNothing()
   {
     RelayFixture fixture;
