Do not pass on or log single losses that prove nothing

Nearly all are connections that replicas reset or forgot. Change: a suspicion is passed on from the second crash of a request on, or once it is confirmed; what restricted nothing is not logged. Sub-requests keep their fingerprint. CrashLedgerTest 14 and RelayTest 48 passed.

--- a/src/crash_ledger.cpp
+++ b/src/crash_ledger.cpp
@@ -58,6 +58,22 @@
   return changed;
 }
 
+// Nobody needs to know what was cleared before it was passed on. A single loss that proves nothing
+// restricts nothing either, and most of them are refuted soon.
+bool
+IsWorthReporting(const LedgerRequest& aRequest, const LedgerStrike& aStrike)
+{
+  switch (aStrike.mState) {
+    case CrashState::Suspected:
+      return CountStrikes(aRequest) >= kCrashesToIsolate;
+    case CrashState::Confirmed:
+      return true;
+    case CrashState::Cleared:
+      return aStrike.mShared;
+  }
+  return false;
+}
+
 // Forgets what was cleared before other gateways knew of it.
 void
 DropUnshared(CrashLedger& aLedger, Fingerprint aFingerprint)
@@ -116,7 +132,12 @@
   crash.mFingerprints.insert(aFingerprint);
   request.mOfContent = aOfContent;
   request.mLastStrikeAt = aNow;
-  aLedger.mReports.push_back({ aNow + kSuspectedReportDelay, aFingerprint, aRun });
+  // Earlier suspicions are worth reporting now as well.
+  for (const auto& [run, earlier] : request.mStrikes) {
+    if (!earlier.mShared) {
+      aLedger.mReports.push_back({ aNow + kSuspectedReportDelay, aFingerprint, run });
+    }
+  }
   LimitRequests(aLedger);
   return true;
 }
@@ -144,12 +165,17 @@
       crash->second.mSince >= aSentAt) {
     return {};
   }
-  std::vector<Fingerprint> changed = EndSuspicion(aLedger, aRun, CrashState::Cleared);
-  aLedger.mCrashes.erase(crash);
-  for (const Fingerprint fingerprint : changed) {
+  std::vector<Fingerprint> restricted;
+  for (const Fingerprint fingerprint : crash->second.mFingerprints) {
+    if (NeedsReplicaForItself(aLedger, fingerprint)) {
+      restricted.push_back(fingerprint);
+    }
+  }
+  for (const Fingerprint fingerprint : EndSuspicion(aLedger, aRun, CrashState::Cleared)) {
     DropUnshared(aLedger, fingerprint);
   }
-  return changed;
+  aLedger.mCrashes.erase(crash);
+  return restricted;
 }
 
 bool
@@ -159,18 +185,17 @@
   if (request == aLedger.mRequests.end()) {
     return false;
   }
-  bool cleared = false;
+  const bool restricted = CountStrikes(request->second) >= kCrashesToIsolate;
   for (auto& [run, strike] : request->second.mStrikes) {
     if (Counts(strike)) {
       strike.mState = CrashState::Cleared;
-      cleared = true;
       if (strike.mShared) {
         aLedger.mReports.push_back({ aNow, aFingerprint, run });
       }
     }
   }
   DropUnshared(aLedger, aFingerprint);
-  return cleared;
+  return restricted;
 }
 
 bool
@@ -269,9 +294,8 @@
       continue;
     }
     const auto strike = request->second.mStrikes.find(report.mRun);
-    // Nobody needs to know what was cleared before it was passed on.
     if (strike == request->second.mStrikes.end() ||
-        (strike->second.mState == CrashState::Cleared && !strike->second.mShared)) {
+        !IsWorthReporting(request->second, strike->second)) {
       continue;
     }
     strike->second.mShared = true;
--- a/src/crash_ledger.h
+++ b/src/crash_ledger.h
@@ -96,12 +96,13 @@
 ConfirmCrash(CrashLedger& aLedger, const ReplicaRun& aRun, TimePoint aNow);
 
 // Records that aRun answered a request that was sent at aSentAt, or otherwise showed that it was
-// alive then. Clears the requests that were suspected of a crash before. Returns them.
+// alive then. Clears the requests that were suspected of a crash before. Returns those that were
+// restricted.
 std::vector<Fingerprint>
 RecordLife(CrashLedger& aLedger, const ReplicaRun& aRun, TimePoint aSentAt);
 
 // Records that a replica answered the request, which therefore is not what crashes replicas.
-// Returns true if crashes were attributed to it.
+// Returns true if it was restricted.
 bool
 ClearRequest(CrashLedger& aLedger, Fingerprint aFingerprint, TimePoint aNow);
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -80,6 +80,8 @@
 struct Subrequest
 {
   std::string mService;
+  // Hash of the service and the content. Computed when it is first needed; see FingerprintOf.
+  mutable std::optional<Fingerprint> mFingerprint;
   // Replicas that the request was sent to.
   std::set<std::string> mTriedReplicas;
   // Sends that a replica has run or may have run.
@@ -185,13 +187,18 @@
 Fingerprint
 FingerprintOf(const RelayedRequest& aRelayed, const Subrequest& aSubrequest)
 {
+  if (aSubrequest.mFingerprint) {
+    return *aSubrequest.mFingerprint;
+  }
   if (!aRelayed.mContent) {
     const HttpRequest& request = aRelayed.mRequest;
     const std::string head =
       fmt::format("{} {} {}", request.mMethod, request.Header("host"), request.mTarget);
     aRelayed.mContent = MakeFingerprint(head, request.mBody);
   }
-  return MakeFingerprint(aSubrequest.mService, fmt::format("{:x}", *aRelayed.mContent));
+  aSubrequest.mFingerprint =
+    MakeFingerprint(aSubrequest.mService, fmt::format("{:x}", *aRelayed.mContent));
+  return *aSubrequest.mFingerprint;
 }
 
 // Identifies the content for all services, so that a verdict outlasts a change of the routes.
