Let verdicts end on a gateway that is idle

Cause: the record of crashes expired only while requests were in flight at replicas, so that a stopped request stayed stopped on a gateway that got no other. Found by reading the diff; CrashLedgerTest::RequestsExpire covers the expiry itself, not its call.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -540,6 +540,7 @@
 {
   State& state = *mState;
   const TimePoint now = SteadyNow();
+  ExpireLedger(state.mLedger, now);
   for (const ReplicaRun& run : OverdueSuspicions(state.mLedger, now)) {
     const auto replica = state.mReplicas.find(run.mUpstream);
     if (replica != state.mReplicas.end() &&
@@ -1539,7 +1540,6 @@
 {
   mSilenceTimer = 0;
   const TimePoint now = SteadyNow();
-  ExpireLedger(mLedger, now);
   PassStrikesOn(now);
   if (!mAttempts.empty() || !mLedger.mReports.empty()) {
     mSilenceTimer = mLoop.AddTimer(now + kSilenceCheckInterval, [this] { CheckSilentReplicas(); });
