--- a/src/platform_protocol.h
+++ b/src/platform_protocol.h
@@ -32,6 +32,10 @@
   std::string mMissingParts;
   // Present if the upstream did not run the request.
   std::string mNotRun;
+  // Carries the key of the caller. Not forwarded to upstreams if the document has workspaces.
+  std::string mKey;
+  // The caller's workspace, for upstreams.
+  std::string mWorkspace;
 };
 
 enum class FleetCallKind : std::uint8_t
@@ -59,6 +63,10 @@
 struct PlatformProtocol
 {
   HeaderNames mHeaders;
+  // Returns the caller's key, or nothing if the request carries none. Valid as long as the request.
+  std::function<std::string_view(const HttpRequest&)> mDecodeKey = [](const HttpRequest&) {
+    return std::string_view();
+  };
   // Fails with BadRequest if the call cannot be decoded. Leaves the body of OfferDocument to
   // mDecodeDocument.
   std::function<Expected<FleetCall>(const HttpRequest&)> mDecodeCall;
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -1,5 +1,7 @@
 #include "routing.h"
 
+#include "caller_identity.h"
+
 #include <algorithm>
 #include <set>
 
@@ -51,6 +53,30 @@
   return {};
 }
 
+Expected<void>
+CheckWorkspaces(const std::vector<Workspace>& aWorkspaces)
+{
+  std::set<std::string> names;
+  std::map<KeyDigest, std::string> owners;
+  for (const Workspace& workspace : aWorkspaces) {
+    if (!names.insert(workspace.mName).second) {
+      return Fail(Result::InvalidDocument,
+                  fmt::format("two workspaces are named '{}'", workspace.mName));
+    }
+    for (const KeyDigest& key : workspace.mKeys) {
+      const auto [owner, inserted] = owners.emplace(key, workspace.mName);
+      if (!inserted && owner->second != workspace.mName) {
+        return Fail(Result::InvalidDocument,
+                    fmt::format("workspaces '{}' and '{}' share the key {}",
+                                owner->second,
+                                workspace.mName,
+                                KeyFingerprint(key)));
+      }
+    }
+  }
+  return {};
+}
+
 } // namespace
 
 Expected<void>
@@ -71,7 +97,7 @@
         fmt::format("two routes share host '{}' and prefix '{}'", route.mHost, route.mPathPrefix));
     }
   }
-  return {};
+  return CheckWorkspaces(aDocument.mWorkspaces);
 }
 
 RoutingTable::RoutingTable(RoutingDocument aDocument)
@@ -84,6 +110,11 @@
   for (std::size_t i = 0; i < mDocument.mServices.size(); ++i) {
     mServicesByName.emplace(mDocument.mServices[i].mName, i);
   }
+  for (std::size_t i = 0; i < mDocument.mWorkspaces.size(); ++i) {
+    for (const KeyDigest& key : mDocument.mWorkspaces[i].mKeys) {
+      mWorkspacesByKey.emplace(key, i);
+    }
+  }
 }
 
 const Route*
@@ -111,4 +142,11 @@
   return found == mServicesByName.end() ? nullptr : &mDocument.mServices[found->second];
 }
 
+const Workspace*
+RoutingTable::FindWorkspace(const KeyDigest& aKey) const
+{
+  const auto found = mWorkspacesByKey.find(aKey);
+  return found == mWorkspacesByKey.end() ? nullptr : &mDocument.mWorkspaces[found->second];
+}
+
 } // namespace apricotyard
--- a/src/routing.h
+++ b/src/routing.h
@@ -5,6 +5,7 @@
 
 #include "types.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -16,6 +17,22 @@
 
 using DocumentVersion = std::uint64_t;
 
+// SHA-256 of a caller's key. Documents in memory hold no keys.
+using KeyDigest = std::array<unsigned char, 32>;
+
+// A customer of the deployment, whose callers share a priority and a quota.
+struct Workspace
+{
+  std::string mName;
+  std::vector<KeyDigest> mKeys;
+  // Goes before the priority of the route. 0 is the most urgent.
+  std::optional<std::uint32_t> mPriority;
+  // Requests per second over all gateways, and how many may exceed it at once. A rate of 0 means no
+  // limit.
+  double mRate = 0;
+  double mBurst = 0;
+};
+
 struct WeightedService
 {
   std::string mService;
@@ -46,6 +63,8 @@
   Duration mObjective{};
   // 0 is the most urgent.
   std::uint32_t mPriority = 0;
+  // Whether requests need no key.
+  bool mPublic = false;
   // Most replicas of one service that may run the same request.
   std::uint32_t mMaxAttempts = 1;
   RouteTarget mTarget = RouteTarget::OneService;
@@ -61,6 +80,8 @@
   std::string mName;
   // Most connections that one replica accepts from all hosts together.
   std::uint32_t mMaxConnections = 0;
+  // Requests per second that a replica takes over all gateways while it warms up; 0 means no limit.
+  double mWarmupRate = 0;
 };
 
 struct CallerLimits
@@ -76,12 +97,14 @@
   DocumentVersion mVersion = 0;
   std::vector<Route> mRoutes;
   std::vector<RoutedService> mServices;
+  // Empty if requests need no key.
+  std::vector<Workspace> mWorkspaces;
   CallerLimits mLimits;
 };
 
 // Fails with InvalidDocument if a route names an unknown service or none, two routes share host and
-// prefix, a weight is negative, the weights of a route add up to 0, a timeout is not positive or a
-// prefix does not start and end with a slash.
+// prefix, a weight is negative, the weights of a route add up to 0, a timeout is not positive, a
+// prefix does not start and end with a slash, or two workspaces share a key or a name.
 Expected<void>
 CheckRouting(const RoutingDocument& aDocument);
 
@@ -99,6 +122,8 @@
   const Route* Find(std::string_view aHost, std::string_view aPath) const;
   // Returns null if the document has no such service.
   const RoutedService* FindService(std::string_view aName) const;
+  // Returns null if no workspace has the key. The workspace is valid as long as the table.
+  const Workspace* FindWorkspace(const KeyDigest& aKey) const;
 
 private:
   RoutingDocument mDocument;
@@ -106,6 +131,8 @@
   std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> mRoutesByHost;
   // Indices into the services of the document by name.
   std::map<std::string, std::size_t, std::less<>> mServicesByName;
+  // Indices into the workspaces of the document by key.
+  std::map<KeyDigest, std::size_t> mWorkspacesByKey;
 };
 
 } // namespace apricotyard
