Hold lost parts of a gather until another part is answered

Cause: a request that crashes replicas ended all 30 replicas of 10 shards within 0.35 s, because the parts of its first gather were sent again at once and its caller repeated it at other gateways, which did not know yet.

A gather adds up to two crashes to the record of its content, which is passed on after 50 ms; equal content then begins with one part.

GatherEndsOneReplicaOfEachShard and SuspectedGatherBeginsWithOnePart fail with the old rules in this code.

--- a/src/crash_ledger.cpp
+++ b/src/crash_ledger.cpp
@@ -118,7 +118,8 @@
              bool aOfContent,
              const ReplicaRun& aRun,
              TimePoint aSentAt,
-             TimePoint aNow)
+             TimePoint aNow,
+             Duration aReportDelay)
 {
   LedgerCrash& crash = FindOrAddCrash(aLedger, aRun, aNow);
   if (crash.mSince < aSentAt) {
@@ -135,7 +136,7 @@
   // Earlier suspicions are worth reporting now as well.
   for (const auto& [run, earlier] : request.mStrikes) {
     if (!earlier.mShared) {
-      aLedger.mReports.push_back({ aNow + kSuspectedReportDelay, aFingerprint, run });
+      aLedger.mReports.push_back({ aNow + aReportDelay, aFingerprint, run });
     }
   }
   LimitRequests(aLedger);
--- a/src/crash_ledger.h
+++ b/src/crash_ledger.h
@@ -81,15 +81,17 @@
 };
 
 // Suspects that aRun crashed under a request that was sent at aSentAt. aOfContent tells that the
-// fingerprint does not include the service. Returns false, and blames
-// nothing on the request, if the crash was known before it was sent, or if the strike is not new.
+// fingerprint does not include the service. The suspicion is passed on after aReportDelay. Returns
+// false, and blames nothing on the request, if the crash was known before it was sent, or if the
+// strike is not new.
 bool
 SuspectCrash(CrashLedger& aLedger,
              Fingerprint aFingerprint,
              bool aOfContent,
              const ReplicaRun& aRun,
              TimePoint aSentAt,
-             TimePoint aNow);
+             TimePoint aNow,
+             Duration aReportDelay = kSuspectedReportDelay);
 
 // Confirms that aRun has ended, if it is suspected. Returns the requests concerned.
 std::vector<Fingerprint>
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -54,6 +54,9 @@
 constexpr Duration kSubsetReportLifetime = std::chrono::seconds(15);
 // Interval at which old crashes are dropped from the reports.
 constexpr Duration kCrashReportInterval = std::chrono::seconds(5);
+// A crash that concerns the requests of all gateways is reported at once, but not more often than
+// this.
+constexpr Duration kCrashCallInterval = std::chrono::milliseconds(200);
 // Most strikes that a coordinator gets after its start from one gateway.
 constexpr std::size_t kMaxKnownStrikes = 256;
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
@@ -148,6 +151,7 @@
   std::map<std::string, SubsetReport> mSubsetReports;
   // Crashes that this gateway or others saw.
   StrikeLog mStrikes;
+  TimePoint mCrashesReportedAt = TimePoint::min();
   // The largest of the numbers that coordinators reported.
   std::uint32_t mGatewayCount = 0;
   std::uint32_t mActiveGatewayCount = 0;
@@ -217,8 +221,13 @@
   mLoop.AddPeriodic(kCrashReportInterval, [this] { ReportCrashes(); });
   mRelay.SetReachabilityHandler([this] { ReportReachability(); });
   mRelay.SetStrikeHandler([this](const Strike& aStrike) {
-    Append(mStrikes, aStrike, SteadyNow());
+    const TimePoint now = SteadyNow();
+    Append(mStrikes, aStrike, now);
     ReportCrashes();
+    if (aStrike.mOfContent && mCrashesReportedAt + kCrashCallInterval <= now) {
+      mCrashesReportedAt = now;
+      mClient->SetLocalHost(mSelf);
+    }
   });
   return {};
 }
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,5 +1,5 @@
-#include "relay_state.h"
 #include "forwarding.h"
+#include "relay_state.h"
 #include "settings.h"
 
 #include <charconv>
@@ -468,6 +468,9 @@
   mMetrics.CountAttempt(subrequest.mService, end);
   mMetrics.CountReplicaBytes(aReply.mBytesSent + aReply.mBytesReceived, attempt.mIsLocal);
   RecordAttemptEnd(attempt, end, aReply);
+  if (aReply.mEnd == TransferEnd::Lost && aReply.mConnectionEnded && !HasAnswer(*relayed)) {
+    ++relayed->mLostReplicas;
+  }
   // Only now, because the reply may say that the replica wants no more requests.
   SendQueued(subrequest.mService);
   if (relayed->mFinished || subrequest.mAnswered) {
@@ -483,9 +486,13 @@
   if (end == AttemptEnd::RanAndFailed) {
     subrequest.mReply = std::move(aReply);
   }
-  const bool resent = MayRetry(end, relayed->mRoute->mRepeatable) &&
-                      subrequest.mPossibleRuns < relayed->mRoute->mMaxAttempts &&
-                      TryResend(relayed, attempt.mSubrequestIndex, kind);
+  const bool mayResend = MayRetry(end, relayed->mRoute->mRepeatable) &&
+                         subrequest.mPossibleRuns < relayed->mRoute->mMaxAttempts;
+  if (mayResend && MustAwaitAnswer(EvidenceOf(*relayed))) {
+    Hold(relayed, attempt.mSubrequestIndex);
+    return;
+  }
+  const bool resent = mayResend && TryResend(relayed, attempt.mSubrequestIndex, kind);
   subrequest.mFailed = !resent && subrequest.mActiveAttempts.empty();
   FinishIfDecided(relayed);
 }
@@ -504,6 +511,9 @@
     mAttempts[attemptId].mGraceTimer = mLoop.AddTimer(
       SteadyNow() + kLosingAttemptGrace, [this, attemptId] { CancelAttempt(attemptId); });
   }
+  if (aRelayed->mProofTimer != 0) {
+    SendHeldParts(aRelayed);
+  }
   FinishIfDecided(aRelayed);
 }
 
@@ -557,6 +567,8 @@
   mOpenRequests.erase(aRelayed);
   mLoop.CancelTimer(relayed.mObjectiveTimer);
   mLoop.CancelTimer(relayed.mDeadlineTimer);
+  mLoop.CancelTimer(relayed.mProofTimer);
+  EndIsolation(relayed);
   mClient.Cancel(relayed.mPeerTransfer);
   const TimePoint graceEnd = SteadyNow() + kLosingAttemptGrace;
   for (RelaySubrequest& subrequest : relayed.mSubrequests) {
--- a/src/relay_crashes.cpp
+++ b/src/relay_crashes.cpp
@@ -14,6 +14,8 @@
 constexpr Duration kCrashSilence = std::chrono::milliseconds(800);
 constexpr Duration kSilenceCheckTimeout = std::chrono::milliseconds(400);
 
+} // namespace
+
 bool
 HasAnswer(const RelayedRequest& aRelayed)
 {
@@ -22,8 +24,6 @@
                      [](const RelaySubrequest& aOne) { return aOne.mAnswered; });
 }
 
-} // namespace
-
 Fingerprint
 FingerprintOf(const RelayedRequest& aRelayed, const RelaySubrequest& aSubrequest)
 {
@@ -74,6 +74,94 @@
                      [&](const RelaySubrequest& aOne) { return IsStopped(aRelayed, aOne); });
 }
 
+GatherEvidence
+Relay::State::EvidenceOf(const RelayedRequest& aRelayed) const
+{
+  GatherEvidence evidence;
+  evidence.mShards =
+    aRelayed.mRoute->mTarget == RouteTarget::AllShards ? aRelayed.mSubrequests.size() : 0;
+  evidence.mAnswered = HasAnswer(aRelayed) ? 1 : 0;
+  evidence.mLost = aRelayed.mLostReplicas;
+  return evidence;
+}
+
+void
+Relay::State::Hold(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex)
+{
+  aRelayed->mSubrequests[aIndex].mHeld = true;
+  if (aRelayed->mProofTimer == 0) {
+    aRelayed->mProofTimer = mLoop.AddTimer(SteadyNow() + kProofTime, [this, aRelayed] {
+      aRelayed->mProofTimer = 0;
+      GiveUpHeldParts(aRelayed);
+    });
+  }
+}
+
+bool
+Relay::State::SendIsolatedPart(const std::shared_ptr<RelayedRequest>& aRelayed)
+{
+  const TimePoint now = SteadyNow();
+  for (std::size_t i = 0; i < aRelayed->mSubrequests.size(); ++i) {
+    ReplicaView* const replica = SelectReplica(*aRelayed, aRelayed->mSubrequests[i], now);
+    if (replica == nullptr) {
+      continue;
+    }
+    aRelayed->mIsolated = true;
+    BeginIsolatedRun(mLedger, ContentFingerprintOf(*aRelayed, aRelayed->mSubrequests[i]));
+    for (std::size_t other = 0; other < aRelayed->mSubrequests.size(); ++other) {
+      if (other != i) {
+        Hold(aRelayed, other);
+      }
+    }
+    StartAttempt(aRelayed, i, *replica);
+    return true;
+  }
+  return false;
+}
+
+void
+Relay::State::EndIsolation(RelayedRequest& aRelayed)
+{
+  if (std::exchange(aRelayed.mIsolated, false)) {
+    EndIsolatedRun(mLedger, ContentFingerprintOf(aRelayed, aRelayed.mSubrequests.front()));
+  }
+}
+
+void
+Relay::State::SendHeldParts(const std::shared_ptr<RelayedRequest>& aRelayed)
+{
+  mLoop.CancelTimer(aRelayed->mProofTimer);
+  aRelayed->mProofTimer = 0;
+  EndIsolation(*aRelayed);
+  const TimePoint now = SteadyNow();
+  for (std::size_t i = 0; i < aRelayed->mSubrequests.size(); ++i) {
+    RelaySubrequest& subrequest = aRelayed->mSubrequests[i];
+    if (!std::exchange(subrequest.mHeld, false) || subrequest.mAnswered) {
+      continue;
+    }
+    if (subrequest.mSendCount > 0) {
+      subrequest.mFailed =
+        !TryResend(aRelayed, i, ExtraSend::Retry) && subrequest.mActiveAttempts.empty();
+    } else if (ReplicaView* const replica = SelectReplica(*aRelayed, subrequest, now)) {
+      StartAttempt(aRelayed, i, *replica);
+    } else {
+      subrequest.mFailed = !Enqueue(aRelayed, i);
+    }
+  }
+}
+
+void
+Relay::State::GiveUpHeldParts(const std::shared_ptr<RelayedRequest>& aRelayed)
+{
+  EndIsolation(*aRelayed);
+  for (RelaySubrequest& subrequest : aRelayed->mSubrequests) {
+    if (std::exchange(subrequest.mHeld, false)) {
+      subrequest.mFailed = !subrequest.mAnswered && subrequest.mActiveAttempts.empty();
+    }
+  }
+  FinishIfDecided(aRelayed);
+}
+
 bool
 Relay::State::NeedsIsolation(const RelayedRequest& aRelayed,
                              const RelaySubrequest& aSubrequest) const
@@ -150,10 +238,20 @@
     return;
   }
   const Fingerprint content = ContentFingerprintOf(owner, subrequest);
-  // A gather reaches replicas of all services at the same time, so that all its crashes are one.
-  if (owner.mRoute->mTarget == RouteTarget::OneService || (!owner.mBlamed && !HasAnswer(owner))) {
-    owner.mBlamed = true;
-    apricotyard::SuspectCrash(mLedger, content, true, run, aAttempt.mSentAt, now);
+  // A gather reaches replicas of all services at the same time, which may crash for another reason.
+  const bool isGather = owner.mRoute->mTarget == RouteTarget::AllShards;
+  if (!isGather || (owner.mBlamedCrashes < kMaxCrashesPerGather && !HasAnswer(owner))) {
+    ++owner.mBlamedCrashes;
+    apricotyard::SuspectCrash(mLedger,
+                              content,
+                              true,
+                              run,
+                              aAttempt.mSentAt,
+                              now,
+                              isGather ? kGatherReportDelay : kSuspectedReportDelay);
+    if (isGather && owner.mBlamedCrashes == kMaxCrashesPerGather) {
+      mLoop.AddTimer(now + kGatherReportDelay, [this] { PassStrikesOn(SteadyNow()); });
+    }
   }
   LogEvent(Event::CrashSuspected,
            { { "request", owner.mId },
--- a/src/relay_passing.cpp
+++ b/src/relay_passing.cpp
@@ -132,11 +132,15 @@
   if (MayHaveRun(relayed) && !relayed.mRoute->mRepeatable) {
     return;
   }
+  mLoop.CancelTimer(relayed.mProofTimer);
+  relayed.mProofTimer = 0;
+  EndIsolation(relayed);
   for (RelaySubrequest& subrequest : relayed.mSubrequests) {
     const std::set<AttemptId> activeAttempts = subrequest.mActiveAttempts;
     for (const AttemptId attemptId : activeAttempts) {
       CancelAttempt(attemptId);
     }
+    subrequest.mHeld = false;
   }
   std::vector<SocketAddress> untried;
   for (const SocketAddress& peer : mPeers) {
--- a/src/relay_send.cpp
+++ b/src/relay_send.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kPreconnectInterval = std::chrono::milliseconds(1000);
 // An idle connection is discarded this long before the replica would close it.
 constexpr std::chrono::seconds kIdleCloseMargin{ 1 };
+// Interval at which a hedge that waits for the answer to another part is considered again.
+constexpr Duration kHedgeRecheckInterval = std::chrono::milliseconds(20);
 // An unreadable header of a replica is logged again after this time.
 constexpr Duration kUnreadableLogInterval = std::chrono::seconds(30);
 
@@ -197,6 +199,11 @@
 void
 Relay::State::SendFirstAttempts(const std::shared_ptr<RelayedRequest>& aRelayed)
 {
+  const bool isSuspect = aRelayed->mSubrequests.size() >= kMinShardsForEvidence &&
+                         NeedsIsolation(*aRelayed, aRelayed->mSubrequests.front());
+  if (isSuspect && SendIsolatedPart(aRelayed)) {
+    return;
+  }
   std::vector<std::pair<std::size_t, ReplicaView*>> localSends;
   const TimePoint now = SteadyNow();
   for (std::size_t i = 0; i < aRelayed->mSubrequests.size(); ++i) {
@@ -395,9 +402,19 @@
 Relay::State::OnHedgeTimer(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex)
 {
   const RelaySubrequest& subrequest = aRelayed->mSubrequests[aIndex];
-  if (!aRelayed->mFinished && aRelayed->mPeerTransfer == 0 && !subrequest.mAnswered &&
-      !subrequest.mFailed && subrequest.mPossibleRuns < aRelayed->mRoute->mMaxAttempts) {
+  if (aRelayed->mFinished || aRelayed->mPeerTransfer != 0 || subrequest.mAnswered ||
+      subrequest.mFailed || subrequest.mHeld ||
+      subrequest.mPossibleRuns >= aRelayed->mRoute->mMaxAttempts) {
+    return;
+  }
+  if (MayHedge(EvidenceOf(*aRelayed))) {
     TryResend(aRelayed, aIndex, ExtraSend::Hedge);
+  } else {
+    aRelayed->mSubrequests[aIndex].mHedgeTimer =
+      mLoop.AddTimer(SteadyNow() + kHedgeRecheckInterval, [this, aRelayed, aIndex] {
+        aRelayed->mSubrequests[aIndex].mHedgeTimer = 0;
+        OnHedgeTimer(aRelayed, aIndex);
+      });
   }
 }
 
@@ -457,6 +474,8 @@
 {
   mLoop.CancelTimer(aRelayed.mObjectiveTimer);
   mLoop.CancelTimer(aRelayed.mDeadlineTimer);
+  mLoop.CancelTimer(aRelayed.mProofTimer);
+  EndIsolation(aRelayed);
   for (RelaySubrequest& subrequest : aRelayed.mSubrequests) {
     mLoop.CancelTimer(subrequest.mHedgeTimer);
     const std::set<AttemptId> activeAttempts = subrequest.mActiveAttempts;
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -9,6 +9,7 @@
 #define APRICOTYARD_RELAY_STATE_H
 
 #include "crash_ledger.h"
+#include "gather_guard.h"
 #include "log.h"
 #include "reachability.h"
 #include "relay.h"
@@ -46,6 +47,8 @@
   std::set<AttemptId> mActiveAttempts;
   bool mAnswered = false;
   bool mFailed = false;
+  // The next send waits until another part of the gather has been answered.
+  bool mHeld = false;
   // The successful reply, or the last error reply of a replica.
   ClientReply mReply;
   TimerId mHedgeTimer = 0;
@@ -79,8 +82,14 @@
   bool mObjectivePassed = false;
   bool mDeadlinePassed = false;
   bool mFinished = false;
-  // A crash was attributed to the content of the request.
-  bool mBlamed = false;
+  // Crashes that were attributed to the content of the request.
+  std::size_t mBlamedCrashes = 0;
+  // Replicas that ended the connection while no part had been answered.
+  std::size_t mLostReplicas = 0;
+  // Runs while parts are held.
+  TimerId mProofTimer = 0;
+  // Only one part has been sent, because equal requests are suspected of crashing replicas.
+  bool mIsolated = false;
 };
 
 struct RelayAttempt
@@ -126,6 +135,10 @@
 bool
 MayHaveRun(const RelayedRequest& aRelayed);
 
+// Whether any part has been answered.
+bool
+HasAnswer(const RelayedRequest& aRelayed);
+
 // Whether the status promises that the request has not run.
 bool
 IsRefusal(int aStatus);
@@ -179,6 +192,14 @@
 
   // Makes the first send of every sub-request. Below, aIndex is an index into mSubrequests.
   void SendFirstAttempts(const std::shared_ptr<RelayedRequest>& aRelayed);
+  // Sends one part of a gather whose content is suspected of crashing replicas, and holds the
+  // others. False if no replica can take any part.
+  bool SendIsolatedPart(const std::shared_ptr<RelayedRequest>& aRelayed);
+  // Keeps a part of a gather until another part is answered, for kProofTime at most.
+  void Hold(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
+  void SendHeldParts(const std::shared_ptr<RelayedRequest>& aRelayed);
+  void GiveUpHeldParts(const std::shared_ptr<RelayedRequest>& aRelayed);
+  void EndIsolation(RelayedRequest& aRelayed);
   // Sends a sub-request to the best replica not tried yet. False if none can take it.
   bool SendToNextReplica(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
   void StartAttempt(const std::shared_ptr<RelayedRequest>& aRelayed,
@@ -220,6 +241,7 @@
   // Whether the sub-request may not be sent because equal ones crashed replicas of its service.
   bool IsStopped(const RelayedRequest& aRelayed, const RelaySubrequest& aSubrequest) const;
   bool IsAnyStopped(const RelayedRequest& aRelayed) const;
+  GatherEvidence EvidenceOf(const RelayedRequest& aRelayed) const;
   // Whether the sub-request must be alone at its replica, so that a crash tells whether it is the
   // cause.
   bool NeedsIsolation(const RelayedRequest& aRelayed, const RelaySubrequest& aSubrequest) const;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -396,6 +396,9 @@
   CPPUNIT_TEST(StoppingRelayRefusesWhatItCannotFinish);
   CPPUNIT_TEST(RequestThatCrashesReplicasIsStopped);
   CPPUNIT_TEST(GatherThatCrashesReplicasIsStopped);
+  CPPUNIT_TEST(GatherEndsOneReplicaOfEachShard);
+  CPPUNIT_TEST(SuspectedGatherBeginsWithOnePart);
+  CPPUNIT_TEST(GatherBesideACrashIsServed);
   CPPUNIT_TEST(RequestThatCrashesReplicasAtOtherGatewaysIsStopped);
   CPPUNIT_TEST(RequestLostInUnrelatedCrashesIsServed);
   CPPUNIT_TEST(VerdictOutlastsChangeOfTheService);
@@ -1096,6 +1099,57 @@
     CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
   }
 
+  // Guards against a gather that is sent again to a second replica of every shard while the first
+  // ones end.
+  void GatherEndsOneReplicaOfEachShard()
+  {
+    RelayFixture fixture;
+    CrashingFleet fleet(fixture, GatherRoute(6, 0.5), 3);
+    CPPUNIT_ASSERT_EQUAL(502, fixture.Get("/crash").mStatus);
+    for (int shard = 0; shard < 6; ++shard) {
+      CPPUNIT_ASSERT(fleet.Crashes(fmt::format("s{}", shard)) <= 1);
+    }
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+  }
+
+  // Guards against a second gather with the same content that ends a replica of every shard again.
+  void SuspectedGatherBeginsWithOnePart()
+  {
+    RelayFixture fixture;
+    CrashingFleet fleet(fixture, GatherRoute(6, 0.5), 3);
+    const auto crashes = [&fleet] {
+      std::size_t sum = 0;
+      for (int shard = 0; shard < 6; ++shard) {
+        sum += fleet.Crashes(fmt::format("s{}", shard));
+      }
+      return sum;
+    };
+    fixture.Get("/crash");
+    const std::size_t first = crashes();
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+    for (int i = 0; i < 4; ++i) {
+      fixture.Get("/crash");
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/fine").mStatus);
+    }
+    CPPUNIT_ASSERT(crashes() <= first + 1);
+  }
+
+  // Guards against blaming a gather for crashes beside it: parts that other replicas answer prove
+  // that it is not the cause.
+  void GatherBesideACrashIsServed()
+  {
+    RelayFixture fixture;
+    int crashes = 0;
+    CrashingFleet fleet(fixture, GatherRoute(6, 1.0), 3, [&crashes](const std::string& aRequest) {
+      return aRequest == "GET /hot" && crashes++ < 2;
+    });
+    for (int i = 0; i < 3; ++i) {
+      const ClientReply reply = fixture.Get("/hot");
+      CPPUNIT_ASSERT_EQUAL(200, reply.mStatus);
+    }
+    CPPUNIT_ASSERT(fixture.HasMetricLine("apricot_requests_stopped 0"));
+  }
+
   void RequestThatCrashesReplicasAtOtherGatewaysIsStopped()
   {
     std::vector<Strike> strikes;
