Identify callers by key, and judge keys only with a lease

Replicas saw the callers' keys, every request ran whatever its key was, and a gateway without contact kept its document without limit.

With workspaces in the document, a new step of the relay identifies the caller, replaces the identifying headers towards replicas, and looks the key up again before each send. Gateways with revocation_limit judge keys only while a coordinator's linearizable read confirms their document. Names of workspaces that cannot be sent in a header make a document invalid.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -4,6 +4,7 @@
 #include "crash_exchange.h"
 #include "departures.h"
 #include "discovery_node.h"
+#include "document_lease.h"
 #include "document_state.h"
 #include "fleet.grpc.pb.h"
 #include "fleet_client.h"
@@ -133,6 +134,10 @@
 
   static std::uint32_t CountVotersIfVoter(const LogStatus& aStatus);
   void FillDocument(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const;
+  // Starts a linearizable read, whose success confirms the document held here.
+  void ReadDocument();
+  // Adds the age of the last successful read to a reply that names a committed document.
+  void FillReadAge(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply);
   Expected<void> ListenForMetrics();
   void FillHosts(rpc::FleetSyncReply& aReply, TimePoint aNow) const;
   // Names gateways to which a gateway that reaches no replica can pass requests on.
@@ -168,6 +173,7 @@
   FleetHost mSelf;
   FleetRegistry mRegistry;
   DocumentState mState;
+  DocumentReads mReads;
   GatewaySubset mSubset;
   // Crashes that gateways reported.
   StrikeLog mStrikes;
@@ -339,6 +345,11 @@
   }
   RestoreUpstreams();
   mLoop.AddPeriodic(kExpireInterval, [this] { ExpireRegistry(mRegistry, SteadyNow()); });
+  mLoop.AddPeriodic(kReadInterval, [this] {
+    if (IsReadWanted(mReads, SteadyNow())) {
+      ReadDocument();
+    }
+  });
   mLoop.AddPeriodic(kSubsetInterval, [this] { UpdateSubset(); });
   mLoop.AddPeriodic(kUpstreamsSaveInterval, [this] { SaveUpstreams(); });
   mLoop.AddPeriodic(kMembershipInterval, [this] {
@@ -572,6 +583,32 @@
   }
 }
 
+void
+Coordinator::ReadDocument()
+{
+  mLog->ReadBarrier([this, startedAt = SteadyNow()](const Expected<void>& aResult) {
+    if (aResult) {
+      RecordRead(mReads, startedAt);
+    }
+  });
+}
+
+void
+Coordinator::FillReadAge(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply)
+{
+  if (!aRequest.wants_read_age()) {
+    return;
+  }
+  const TimePoint now = SteadyNow();
+  if (RecordReadWanted(mReads, now)) {
+    ReadDocument();
+  }
+  const auto age = ReadAge(mReads, now);
+  if (age && DocumentOf(aReply).mCommitted) {
+    aReply.set_read_age_ms(*age);
+  }
+}
+
 rpc::FleetSyncReply
 Coordinator::HandleSync(const rpc::FleetSyncRequest& aRequest)
 {
@@ -602,6 +639,7 @@
   reply.set_voters(CountVotersIfVoter(status));
   reply.set_voter_list(status.mMembersIndex);
   FillDocument(aRequest, reply);
+  FillReadAge(aRequest, reply);
   const bool sameIncarnation = aRequest.cursor_incarnation() == mSelf.mIncarnation;
   const std::uint64_t cursor = sameIncarnation ? aRequest.cursor() : 0;
   const RecordChanges changes = NextChanges(mRegistry, cursor, scope, kMaxRecordsPerReply);
--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -71,6 +71,7 @@
   absl::Mutex mMutex;
   rpc::FleetHost mSelf;
   DocumentIdentity mDocument;
+  bool mReadAgeWanted = false;
   std::vector<Strike> mRecentCrashes;
   std::vector<Strike> mKnownCrashes;
   // The link that fetches the document, and until when the other links do not fetch it themselves.
@@ -188,6 +189,7 @@
     request.set_document_version(mShared.mDocument.mVersion);
     request.set_document_uncommitted(!mShared.mDocument.mCommitted);
     request.set_document_digest(mShared.mDocument.mDigest);
+    request.set_wants_read_age(mShared.mReadAgeWanted);
     request.set_own_records_only(!WantsAllRecords());
     request.set_cursor(request.own_records_only() ? mOwnCursor : mAllCursor);
     request.set_cursor_incarnation(mCursorIncarnation);
@@ -610,6 +612,13 @@
   mState->mShared.mDocument = aDocument;
 }
 
+void
+FleetClient::SetReadAgeWanted(bool aWanted)
+{
+  absl::MutexLock lock(&mState->mShared.mMutex);
+  mState->mShared.mReadAgeWanted = aWanted;
+}
+
 void
 FleetClient::SetCrashes(const std::vector<Strike>& aRecent, const std::vector<Strike>& aKnown)
 {
--- a/src/fleet_client.h
+++ b/src/fleet_client.h
@@ -64,6 +64,9 @@
   void SetLoad(double aLoad);
   // Sets the document that this host holds.
   void SetDocument(const DocumentIdentity& aDocument);
+  // Sets whether the next calls ask for the age of the coordinator's last read; see
+  // document_lease.h.
+  void SetReadAgeWanted(bool aWanted);
   // Sets the crashes of upstreams that the next calls report, and those that coordinators get once
   // after they were started.
   void SetCrashes(const std::vector<Strike>& aRecent, const std::vector<Strike>& aKnown);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "cmdline.h"
 #include "discovery_node.h"
+#include "document_lease.h"
 #include "document_state.h"
 #include "fleet_client.h"
 #include "fleet_messages.h"
@@ -104,6 +105,10 @@
   void ReportReachability();
   // Learns of the gateways to which requests can be passed on.
   void ApplyPeers(const rpc::FleetSyncReply& aReply);
+  // Renews the lease by which keys are judged.
+  void ApplyReadAge(const rpc::FleetSyncReply& aReply, TimePoint aSentAt);
+  // Logs whether requests with keys are served, if that has changed.
+  void ReportLease();
   void ConsiderDocument(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void AdoptDocument();
   void ExpireUpstreams();
@@ -129,6 +134,12 @@
   DocumentIdentity mCandidate;
   std::string mEncodedCandidate;
   bool mCandidateAdopted = false;
+  // The document in force here.
+  DocumentIdentity mAdopted;
+  // Whether that document has workspaces.
+  bool mHasWorkspaces = false;
+  DocumentLease mLease;
+  bool mLeaseReported = false;
   // Used until the first document is adopted: the newest version that a coordinator has reported,
   // whether a coordinator in contact with its group has replied, and the voters that have.
   DocumentVersion mNewestVersionSeen = 0;
@@ -184,6 +195,9 @@
                       R"(data_centre="other")");
   Gauge& mSinceCoordinatorGauge = mMetrics.AddGauge("apricot_coordinator_silence_seconds",
                                                     "Time since a coordinator answered last.");
+  Gauge& mLeaseAgeGauge =
+    mMetrics.AddGauge("apricot_lease_age_seconds",
+                      "Time since the document in force was last confirmed; -1 if it never was.");
   TimePoint mLastCoordinatorReplyAt;
   // Time of the first coordinator reply after all had been silent.
   TimePoint mCoordinatorsReturnedAt;
@@ -210,9 +224,14 @@
     [this](const std::string& aIp, const rpc::FleetSyncReply& aReply, TimePoint aSentAt) {
       OnSync(aIp, aReply, aSentAt);
     });
+  mLease.mLimit = mSettings.mRevocationLimit;
+  mRelay.SetDocumentLease(mLease);
+  // Until the first document is known, it may have workspaces.
+  mClient->SetReadAgeWanted(mLease.mLimit.has_value());
   mClient->SetLocalHost(mSelf);
   AddSeeds(mSettings.mSeeds);
   mLoop.AddPeriodic(kExpireInterval, [this] { ExpireUpstreams(); });
+  mLoop.AddPeriodic(kExpireInterval, [this] { ReportLease(); });
   mLoop.AddPeriodic(kLoadInterval, [this] { ReportLoad(); });
   mLoop.AddPeriodic(kCrashReportInterval, [this] { ReportCrashes(); });
   mRelay.SetReachabilityHandler([this] { ReportReachability(); });
@@ -279,6 +298,8 @@
     mActiveGauge.Set(mActive ? 1 : 0);
     mLoadGauge.Set(mLoad);
     mUpstreamsGauge.Set(static_cast<double>(mUpstreamCount));
+    const auto leaseAge = LeaseAge(mLease, SteadyNow());
+    mLeaseAgeGauge.Set(leaseAge ? std::chrono::duration<double>(*leaseAge).count() : -1);
     mSinceCoordinatorGauge.Set(
       std::chrono::duration<double>(SteadyNow() - mLastCoordinatorReplyAt).count());
   });
@@ -340,6 +361,37 @@
     PublishUpstreams();
   }
   ConsiderDocument(aIp, aReply);
+  ApplyReadAge(aReply, aSentAt);
+}
+
+void
+Gateway::ApplyReadAge(const rpc::FleetSyncReply& aReply, TimePoint aSentAt)
+{
+  if (!mLease.mLimit || !mHasWorkspaces) {
+    return;
+  }
+  RenewLease(mLease,
+             mAdopted,
+             DocumentOf(aReply),
+             aReply.has_read_age_ms() ? std::optional(aReply.read_age_ms()) : std::nullopt,
+             aSentAt);
+  mRelay.SetDocumentLease(mLease);
+  ReportLease();
+}
+
+void
+Gateway::ReportLease()
+{
+  const TimePoint now = SteadyNow();
+  const bool valid = IsLeaseValid(mLease, now);
+  if (!mLease.mLimit || !mHasWorkspaces || valid == mLeaseReported) {
+    return;
+  }
+  mLeaseReported = valid;
+  const auto age = LeaseAge(mLease, now);
+  LogEvent(
+    valid ? Event::LeaseGained : Event::LeaseLost,
+    { { "version", mVersion }, { "age_ms", age ? *age / std::chrono::milliseconds(1) : -1 } });
 }
 
 // A gateway is active if a coordinator of its data centre names it to callers. Without such a
@@ -478,6 +530,9 @@
     mCandidate = offered;
     mClient->SetDocument(mCandidate);
   }
+  if (Confirms(offered, mAdopted)) {
+    mAdopted = offered;
+  }
   if (mVersion == 0) {
     mNewestVersionSeen = std::max<DocumentVersion>(mNewestVersionSeen, aReply.document_version());
     mCurrentReplySeen |= aReply.current();
@@ -506,6 +561,9 @@
     return;
   }
   mVersion = mCandidate.mVersion;
+  mAdopted = mCandidate;
+  mHasWorkspaces = !document->mWorkspaces.empty();
+  mClient->SetReadAgeWanted(mLease.mLimit && mHasWorkspaces);
   mRelay.SetRouting(std::make_shared<RoutingTable>(*std::move(document)));
   LogEvent(Event::DocumentAdopted,
            { { "version", mVersion },
@@ -609,6 +667,12 @@
                std::chrono::minutes(10),
                aSettings.mStopGrace);
   aReader.Integer("max_connections", Presence::Optional, 10, 20'000, aSettings.mMaxConnections);
+  if (aReader.Has("revocation_limit")) {
+    Duration limit = kMinRevocationLimit;
+    aReader.Time(
+      "revocation_limit", Presence::Optional, kMinRevocationLimit, std::chrono::minutes(10), limit);
+    aSettings.mRevocationLimit = limit;
+  }
   ReadRpcSecurity(aReader, aSettings.mSecurity);
   ReadLogSettings(aReader, aSettings.mLogLevel);
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -33,6 +33,9 @@
   // Time from the stop signal until the process must have exited.
   Duration mStopGrace = std::chrono::seconds(6);
   std::int64_t mMaxConnections = 2000;
+  // Time after which no request runs with a key that was revoked; see document_lease.h. Empty if
+  // keys are judged by the document in force, however old it is.
+  std::optional<Duration> mRevocationLimit;
   RpcSecurity mSecurity;
   LogLevel mLogLevel = LogLevel::Info;
 };
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,5 +1,5 @@
-#include "relay_state.h"
 #include "forwarding.h"
+#include "relay_state.h"
 #include "settings.h"
 
 #include <charconv>
@@ -96,6 +96,12 @@
   mState->SchedulePreconnect();
 }
 
+void
+Relay::SetDocumentLease(const DocumentLease& aLease)
+{
+  mState->mDocumentLease = aLease;
+}
+
 void
 Relay::SetGatewayCount(std::size_t aCount)
 {
@@ -277,6 +283,10 @@
                                                                   ? kFirstCallerTransitTime
                                                                   : kCallerTransitTime),
                                             Duration::zero());
+  if (auto refusal = Identify(relayed)) {
+    Finish(aRelayed, *std::move(refusal));
+    return;
+  }
   if (relayed.mObjectiveAt > mFinishBy) {
     Finish(aRelayed, MakeRefusal(Result::Stopping, "the gateway stops before it could answer"));
     return;
--- a/src/relay.h
+++ b/src/relay.h
@@ -3,6 +3,7 @@
 #ifndef APRICOTYARD_RELAY_H
 #define APRICOTYARD_RELAY_H
 
+#include "document_lease.h"
 #include "extra_budget.h"
 #include "http_client.h"
 #include "metrics.h"
@@ -39,6 +40,8 @@
 
   // Requests in progress keep the table that was in force when they arrived.
   void SetRouting(std::shared_ptr<const RoutingTable> aRouting);
+  // Sets the lease by which keys are judged. By default none is needed.
+  void SetDocumentLease(const DocumentLease& aLease);
   // Replaces the list of known upstreams.
   void SetUpstreams(const std::vector<UpstreamInfo>& aUpstreams);
   // Number of gateways that share the replicas, including this one. A count of 0 is treated as 1.
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -27,6 +27,11 @@
   , mStoppedRequests(aRegistry.AddGauge("apricot_requests_stopped",
                                         "Requests by service and content that are stopped because "
                                         "they crash replicas."))
+  , mRejectedKeys(aRegistry.AddCounter("apricot_keys_rejected_total",
+                                       "Requests refused because their key is missing or unknown."))
+  , mWithoutLease(aRegistry.AddCounter("apricot_requests_without_lease_total",
+                                       "Requests with keys refused because the gateway cannot "
+                                       "confirm that its document is in force."))
   , mLocalBytes(aRegistry.AddCounter("apricot_replica_bytes_total",
                                      "Bytes of finished attempts, sent and received.",
                                      R"(data_centre="own")"))
@@ -116,6 +121,18 @@
   (aLocal ? mLocalBytes : mRemoteBytes).Add(aBytes);
 }
 
+void
+RelayMetrics::CountRejectedKey()
+{
+  mRejectedKeys.Add();
+}
+
+void
+RelayMetrics::CountWithoutLease()
+{
+  mWithoutLease.Add();
+}
+
 void
 RelayMetrics::SetBudgetUsed(const std::string& aService, double aShare)
 {
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -48,6 +48,8 @@
   // Counts the bytes exchanged in a finished attempt. aLocal is true if the replica is in this data
   // centre.
   void CountReplicaBytes(std::size_t aBytes, bool aLocal);
+  void CountRejectedKey();
+  void CountWithoutLease();
   void SetBudgetUsed(const std::string& aService, double aShare);
   void SetOpenRequests(std::size_t aRequests);
   void SetReplicaCounts(const ReplicaCounts& aCounts);
@@ -80,6 +82,8 @@
   Gauge& mLeavingReplicas;
   Gauge& mHeldReplicas;
   Gauge& mStoppedRequests;
+  Counter& mRejectedKeys;
+  Counter& mWithoutLease;
   Counter& mLocalBytes;
   Counter& mRemoteBytes;
   std::map<std::string, RouteMetrics> mRoutes;
--- a/src/relay_passing.cpp
+++ b/src/relay_passing.cpp
@@ -174,8 +174,11 @@
   const bool notRun = aReply.mEnd == TransferEnd::NotConnected ||
                       aReply.mEnd == TransferEnd::NotSent ||
                       (aReply.mEnd == TransferEnd::Complete && IsRefusal(aReply.mStatus));
+  // The other gateway may not know the key, but a replica may also have given this answer.
+  constexpr int kUnauthorized = 401;
+  const bool mayBeRefusal = notRun || aReply.mStatus == kUnauthorized;
   // A refusal is passed back only if it is true for the attempts of this gateway as well.
-  if (aReply.mEnd == TransferEnd::Complete && !(notRun && MayHaveRun(relayed))) {
+  if (aReply.mEnd == TransferEnd::Complete && !(mayBeRefusal && MayHaveRun(relayed))) {
     HttpResponse response;
     response.mStatus = aReply.mStatus;
     response.mContentType.clear();
--- a/src/relay_responses.cpp
+++ b/src/relay_responses.cpp
@@ -76,6 +76,9 @@
 {
   // Another gateway that has got the request may run it.
   const bool mayHaveRun = MayHaveRun(aRelayed) || mClient.IsSent(aRelayed.mPeerTransfer);
+  if (!mayHaveRun && IsRevoked(aRelayed)) {
+    return MakeRevokedRefusal(aRelayed);
+  }
   const RelaySubrequest& first = aRelayed.mSubrequests.front();
   // A refusal of a replica is passed back only if it is true for the other attempts as well.
   const bool mayForward = !mayHaveRun || !IsRefusal(first.mReply.mStatus);
--- a/src/relay_send.cpp
+++ b/src/relay_send.cpp
@@ -47,7 +47,7 @@
     UpdatePlacementLimits(*aRelayed.mRoutingTable, aSubrequest.mService);
   const Duration typicalLatency =
     TypicalLatency(mRouteLatencies[aRelayed.mRoute->mName].mAll, aRelayed.mRoute->mObjective);
-  if (IsStopped(aRelayed, aSubrequest)) {
+  if (IsStopped(aRelayed, aSubrequest) || IsRevoked(aRelayed)) {
     return nullptr;
   }
   UpdateConnectionState(service->second);
@@ -188,6 +188,7 @@
   request.mAddress = aReplica.mInfo.mAddress;
   request.mMaxIdleTime =
     std::max(aReplica.mIdleTimeout - kIdleCloseMargin, std::chrono::seconds(1));
+  IdentifyToReplica(aRelayed, request.mHeaders);
   request.mHeaders.push_back({ mProtocol.mHeaders.mExpectedUpstream, aReplica.mInfo.mId });
   return request;
 }
@@ -349,7 +350,7 @@
 Relay::State::Enqueue(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex)
 {
   const std::string& service = aRelayed->mSubrequests[aIndex].mService;
-  if (IsStopped(*aRelayed, aRelayed->mSubrequests[aIndex]) ||
+  if (IsStopped(*aRelayed, aRelayed->mSubrequests[aIndex]) || IsRevoked(*aRelayed) ||
       WouldWaitTooLong(*aRelayed, mServices[service])) {
     return false;
   }
@@ -358,8 +359,7 @@
     const auto owner = aWaiting.mOwner.lock();
     return owner == nullptr || owner->mFinished;
   });
-  const bool queued =
-    queue.Push({ aRelayed, aIndex }, aRelayed->mObjectiveAt, aRelayed->mRoute->mPriority);
+  const bool queued = queue.Push({ aRelayed, aIndex }, aRelayed->mObjectiveAt, aRelayed->mPriority);
   ScheduleQueuedSend(service);
   return queued;
 }
@@ -377,7 +377,7 @@
       continue;
     }
     const std::vector<ReplicaView*>& replicas = mServices[aService].mReplicas;
-    if (IsStopped(*owner, owner->mSubrequests[waiting->mSubrequestIndex]) ||
+    if (IsStopped(*owner, owner->mSubrequests[waiting->mSubrequestIndex]) || IsRevoked(*owner) ||
         std::none_of(replicas.begin(), replicas.end(), [](const ReplicaView* aReplica) {
           return IsUsable(*aReplica);
         })) {
@@ -385,7 +385,7 @@
       FinishIfDecided(owner);
       continue;
     }
-    queue.Push(std::move(*waiting), owner->mObjectiveAt, owner->mRoute->mPriority);
+    queue.Push(std::move(*waiting), owner->mObjectiveAt, owner->mPriority);
     ScheduleQueuedSend(aService);
     return;
   }
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -1,6 +1,7 @@
 // Internals of the relay: the state of requests in progress and the steps that handle them.
 // Included only by the relay's own sources, each of which implements one step:
 //   relay.cpp            accepts requests, judges replies and finishes requests
+//   relay_identity.cpp   identifies callers and checks their keys before each send
 //   relay_send.cpp       chooses replicas, opens connections, sends, queues, retries and hedges
 //   relay_passing.cpp    passes requests on to other gateways while no replica can be reached
 //   relay_crashes.cpp    attributes crashes of replicas to requests
@@ -8,7 +9,9 @@
 #ifndef APRICOTYARD_RELAY_STATE_H
 #define APRICOTYARD_RELAY_STATE_H
 
+#include "caller_identity.h"
 #include "crash_ledger.h"
+#include "document_lease.h"
 #include "log.h"
 #include "reachability.h"
 #include "relay.h"
@@ -64,6 +67,12 @@
   std::shared_ptr<const RoutingTable> mRoutingTable;
   const Route* mRoute = nullptr;
   std::string mId;
+  // The digest of the caller's key and its workspace on arrival. Empty if the request has no key,
+  // if the key is unknown, or if mRoutingTable has no workspaces.
+  std::optional<KeyDigest> mKey;
+  std::string mWorkspace;
+  // See PriorityOf.
+  std::uint32_t mPriority = 0;
   // Hash of the content. Computed when it is first needed; see FingerprintOf.
   mutable std::optional<Fingerprint> mContent;
   TimePoint mArrivedAt;
@@ -158,6 +167,16 @@
   }
 
   void StartRequest(const std::shared_ptr<RelayedRequest>& aRelayed);
+  // Identifies the caller. Returns the response if the request is not allowed.
+  std::optional<HttpResponse> Identify(RelayedRequest& aRelayed);
+  std::optional<KeyDigest> KeyOf(const RelayedRequest& aRelayed) const;
+  HttpResponse MakeIdentityRefusal(const RelayedRequest& aRelayed, CallerVerdict aVerdict);
+  // Whether the document in force has revoked the key of the request, which may not be sent then.
+  bool IsRevoked(const RelayedRequest& aRelayed) const;
+  // Precondition: IsRevoked, and the request has not run.
+  HttpResponse MakeRevokedRefusal(const RelayedRequest& aRelayed);
+  // Replaces the headers of a request to a replica by which the caller identifies itself.
+  void IdentifyToReplica(const RelayedRequest& aRelayed, std::vector<HttpHeader>& aHeaders) const;
   bool SelectSubrequests(RelayedRequest& aRelayed);
   std::size_t CountServableSubrequests(const RelayedRequest& aRelayed) const;
   std::size_t CountRequiredSubrequests(const RelayedRequest& aRelayed) const;
@@ -282,6 +301,7 @@
   RelayMetrics mMetrics;
   PlacementLimits mLimits;
   std::shared_ptr<const RoutingTable> mRoutingTable;
+  DocumentLease mDocumentLease;
   std::map<std::string, std::unique_ptr<ReplicaView>> mReplicas;
   std::unordered_map<std::string, RelayService> mServices;
   // Keyed by route name.
--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -53,12 +53,24 @@
   return {};
 }
 
+// Whether aText can be sent in a header without a change. Spaces around a value are dropped.
+bool
+IsHeaderValue(std::string_view aText)
+{
+  return !aText.empty() && aText.front() != ' ' && aText.back() != ' ' &&
+         std::none_of(
+           aText.begin(), aText.end(), [](unsigned char aC) { return aC < ' ' || aC == 0x7f; });
+}
+
 Expected<void>
 CheckWorkspaces(const std::vector<Workspace>& aWorkspaces)
 {
   std::set<std::string> names;
   std::map<KeyDigest, std::string> owners;
   for (const Workspace& workspace : aWorkspaces) {
+    if (!IsHeaderValue(workspace.mName)) {
+      return Fail(Result::InvalidDocument, "the name of a workspace cannot be sent in a header");
+    }
     if (!names.insert(workspace.mName).second) {
       return Fail(Result::InvalidDocument,
                   fmt::format("two workspaces are named '{}'", workspace.mName));
