--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 protoc -Iproto --cpp_out=gen --grpc_out=gen \
   --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" proto/*.proto
-# command.proto defines no services, so its gRPC files are not needed.
-rm -f gen/command.grpc.pb.*
+# command.proto and evacuation.proto define no services, so their gRPC files are not needed.
+rm -f gen/command.grpc.pb.* gen/evacuation.grpc.pb.*
--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -5,6 +5,7 @@
 #include "departures.h"
 #include "discovery_node.h"
 #include "document_state.h"
+#include "evacuation_metrics.h"
 #include "fleet.grpc.pb.h"
 #include "fleet_client.h"
 #include "fleet_messages.h"
@@ -19,6 +20,7 @@
 #include "suspension.h"
 
 #include <algorithm>
+#include <cctype>
 #include <set>
 #include <thread>
 #include <utility>
@@ -85,6 +87,21 @@
   return name;
 }
 
+// Encodes a decoded path for a Location header.
+std::string
+EncodePath(std::string_view aPath)
+{
+  constexpr std::string_view kUnreserved = "-._~/";
+  std::string encoded;
+  for (const char character : aPath) {
+    const bool plain = std::isalnum(static_cast<unsigned char>(character)) != 0 ||
+                       kUnreserved.find(character) != std::string_view::npos;
+    encoded += plain ? std::string(1, character)
+                     : fmt::format("%{:02X}", static_cast<unsigned char>(character));
+  }
+  return encoded;
+}
+
 HttpResponse
 UnavailableResponse(std::string_view aMessage)
 {
@@ -133,6 +150,7 @@
 
   static std::uint32_t CountVotersIfVoter(const LogStatus& aStatus);
   void FillDocument(const rpc::FleetSyncRequest& aRequest, rpc::FleetSyncReply& aReply) const;
+  void FillEvacuations(rpc::FleetSyncReply& aReply) const;
   Expected<void> ListenForMetrics();
   void FillHosts(rpc::FleetSyncReply& aReply, TimePoint aNow) const;
   // Names gateways to which a gateway that reaches no replica can pass requests on.
@@ -159,6 +177,11 @@
   void ProposeDocument(const StoredDocument& aDocument,
                        const std::string& aPath,
                        const HttpResponder& aRespond);
+  void HandleEvacuation(const EvacuationOrder& aOrder,
+                        const std::string& aPath,
+                        const HttpResponder& aRespond);
+  // Responds with a redirection to the leader unless this host leads. Returns whether it does.
+  bool CheckLeading(const std::string& aPath, const HttpResponder& aRespond) const;
   void HandleReadDocument(const HttpResponder& aRespond);
   void HandleFindGateways(const std::string& aDataCentre, const HttpResponder& aRespond);
 
@@ -192,6 +215,7 @@
   Gauge& mGatewaysGauge = mMetrics.AddGauge("apricot_gateways", "Gateways heard recently.");
   Gauge& mActiveGatewaysGauge =
     mMetrics.AddGauge("apricot_active_gateways", "Gateways that callers are sent to.");
+  EvacuationGauges mEvacuationGauges{ mMetrics };
   Departures mDepartures;
   Counter& mUnconfirmedDepartures =
     mMetrics.AddCounter("apricot_unconfirmed_departures_total",
@@ -216,6 +240,7 @@
   auto server = ServeMetrics(mLoop, mSettings.mMetricsAddress, mMetrics, [this] {
     const LogStatus status = mLog->Status();
     mVersionGauge.Set(static_cast<double>(mState.Current().mVersion));
+    mEvacuationGauges.Update(mState.CurrentEvacuations().mDataCentres);
     mLeaderGauge.Set(status.mLeading ? 1 : 0);
     mTermGauge.Set(static_cast<double>(status.mTerm));
     mMembersGauge.Set(static_cast<double>(status.mMembers.size()));
@@ -246,7 +271,8 @@
   }
   const TimePoint now = SteadyNow();
   for (const rpc::Record& message : saved.records()) {
-    if (const auto record = FromMessage(message)) {
+    if (auto record = FromMessage(message)) {
+      record->mInfo.mWarmupUntil = WarmupUntil(message, now);
       RegisterUpstream(mRegistry, record->mInfo, now);
     }
   }
@@ -267,7 +293,9 @@
     const bool leftLately = record->mInfo.mState == UpstreamState::Left &&
                             record->mConfirmedAt + kDepartureSaveTime > now;
     if (!record->mGone || leftLately) {
-      ToMessage(*record, Duration::zero(), *saved.add_records());
+      rpc::Record& message = *saved.add_records();
+      ToMessage(*record, Duration::zero(), message);
+      SetWarmup(record->mInfo, now, message);
     }
   }
   mUpstreamsFile->Save(saved.SerializeAsString(), [this, cursor = mSavedCursor](bool aWritten) {
@@ -386,6 +414,7 @@
                { { "coordinator", aIp }, { "reason", record.error().mMessage } });
       continue;
     }
+    record->mInfo.mWarmupUntil = WarmupUntil(message, SteadyNow());
     ApplyRemoteRecord(mRegistry, *record, std::chrono::milliseconds(message.idle_ms()), aSentAt);
   }
   ConfirmRegistrar(mRegistry.mDirectory, aIp, aReply.self().incarnation(), aSentAt);
@@ -572,6 +601,21 @@
   }
 }
 
+// Orders that are not known to be committed are reported even in contact with the group, because a
+// leader that was just elected may not have told this host yet which of them were acknowledged.
+void
+Coordinator::FillEvacuations(rpc::FleetSyncReply& aReply) const
+{
+  const Evacuations& evacuations = mState.CurrentEvacuations();
+  aReply.set_evacuation_revision(evacuations.mRevision);
+  for (const std::string& dataCentre : evacuations.mDataCentres) {
+    aReply.add_evacuated(dataCentre);
+  }
+  for (const std::string& dataCentre : EvacuationsBegunBy(mLog->UncommittedCommands())) {
+    aReply.add_uncommitted_evacuations(dataCentre);
+  }
+}
+
 rpc::FleetSyncReply
 Coordinator::HandleSync(const rpc::FleetSyncRequest& aRequest)
 {
@@ -598,15 +642,21 @@
   rpc::FleetSyncReply reply;
   *reply.mutable_self() = ToMessage(mSelf);
   const LogStatus status = mLog->Status();
-  reply.set_current(status.mLeading || !status.mLeader.empty());
+  // A member that hears a leader but has applied nothing of its term may lack what was acknowledged
+  // before the group was restarted.
+  reply.set_current((status.mLeading || !status.mLeader.empty()) &&
+                    status.mAppliedTerm == status.mTerm);
   reply.set_voters(CountVotersIfVoter(status));
   reply.set_voter_list(status.mMembersIndex);
   FillDocument(aRequest, reply);
+  FillEvacuations(reply);
   const bool sameIncarnation = aRequest.cursor_incarnation() == mSelf.mIncarnation;
   const std::uint64_t cursor = sameIncarnation ? aRequest.cursor() : 0;
   const RecordChanges changes = NextChanges(mRegistry, cursor, scope, kMaxRecordsPerReply);
   for (const DirectoryRecord* record : changes.mRecords) {
-    ToMessage(*record, now - LastConfirmed(mRegistry.mDirectory, *record), *reply.add_records());
+    rpc::Record& message = *reply.add_records();
+    ToMessage(*record, now - LastConfirmed(mRegistry.mDirectory, *record), message);
+    SetWarmup(record->mInfo, now, message);
   }
   reply.set_cursor(changes.mCursor);
   reply.set_more_records(changes.mMore);
@@ -738,6 +788,7 @@
   }
   switch (call->mKind) {
     case FleetCallKind::Announce:
+      call->mUpstream.mWarmupUntil = SteadyNow() + call->mWarmupLeft;
       HandleAnnounce(call->mUpstream, aRespond);
       break;
     case FleetCallKind::Leave:
@@ -752,6 +803,12 @@
     case FleetCallKind::FindGateways:
       HandleFindGateways(call->mDataCentre, aRespond);
       break;
+    case FleetCallKind::BeginEvacuation:
+    case FleetCallKind::EndEvacuation:
+      HandleEvacuation({ call->mDataCentre, call->mKind == FleetCallKind::EndEvacuation },
+                       aRequest.mPath,
+                       aRespond);
+      break;
     case FleetCallKind::CheckReady:
     case FleetCallKind::Unknown:
       aRespond(ErrorResponse(Result::NotFound, "no such path"));
@@ -867,27 +924,78 @@
   ProposeDocument({ document->mVersion, aRequest.mBody }, aRequest.mPath, aRespond);
 }
 
+bool
+Coordinator::CheckLeading(const std::string& aPath, const HttpResponder& aRespond) const
+{
+  const LogStatus status = mLog->Status();
+  if (status.mLeading) {
+    return true;
+  }
+  const auto leader =
+    std::find_if(status.mMembers.begin(), status.mMembers.end(), [&status](const auto& aMember) {
+      return aMember.mId == status.mLeader;
+    });
+  if (leader == status.mMembers.end() || status.mLeader == status.mSelf) {
+    aRespond(UnavailableResponse("no leader is known"));
+    return false;
+  }
+  HttpResponse response;
+  response.mStatus = 307;
+  const SocketAddress target{ leader->mAddress.mIp, mSettings.mControlAddress.mPort };
+  response.mHeaders.push_back(
+    { "Location", fmt::format("http://{}{}", FormatSocketAddress(target), EncodePath(aPath)) });
+  aRespond(std::move(response));
+  return false;
+}
+
+// Proposes the order even if it would change nothing, because the log may hold an order to the
+// contrary that is not applied yet.
+void
+Coordinator::HandleEvacuation(const EvacuationOrder& aOrder,
+                              const std::string& aPath,
+                              const HttpResponder& aRespond)
+{
+  if (!CheckLeading(aPath, aRespond)) {
+    return;
+  }
+  const std::set<std::string>& evacuated = mState.CurrentEvacuations().mDataCentres;
+  if (!aOrder.mEnd && evacuated.size() >= kMaxEvacuated &&
+      !evacuated.contains(aOrder.mDataCentre)) {
+    aRespond(ErrorResponse(Result::EvacuationsFull, "too many data centres are evacuated"));
+    return;
+  }
+  const std::vector<UpstreamInfo> upstreams = ListUpstreams(mRegistry.mDirectory);
+  // Tells an operator who mistyped the name.
+  const auto known =
+    std::count_if(upstreams.begin(), upstreams.end(), [&aOrder](const UpstreamInfo& aUpstream) {
+      return aUpstream.mDataCentre == aOrder.mDataCentre;
+    });
+  mLog->Propose(
+    EncodeOrderCommand(aOrder),
+    [this, aOrder, aRespond, known, startTime = SteadyNow()](
+      const Expected<std::string>& aOutcome) {
+      const bool applied = mState.CurrentEvacuations().mDataCentres.contains(aOrder.mDataCentre);
+      LogEvent(Event::EvacuationProposed,
+               { { "data_centre", aOrder.mDataCentre },
+                 { "end", aOrder.mEnd },
+                 { "evacuated", applied },
+                 { "upstreams", known },
+                 { "took_ms", (SteadyNow() - startTime) / std::chrono::milliseconds(1) },
+                 { "result", aOutcome ? "ok" : aOutcome.error().mMessage } });
+      if (!aOutcome) {
+        aRespond(UnavailableResponse(aOutcome.error().mMessage));
+      } else {
+        aRespond(mProtocol.mEncodeAcknowledged());
+      }
+    });
+}
+
 void
 Coordinator::ProposeDocument(const StoredDocument& aDocument,
                              const std::string& aPath,
                              const HttpResponder& aRespond)
 {
-  const LogStatus status = mLog->Status();
-  if (!status.mLeading) {
-    const auto leader =
-      std::find_if(status.mMembers.begin(), status.mMembers.end(), [&status](const auto& aMember) {
-        return aMember.mId == status.mLeader;
-      });
-    if (leader == status.mMembers.end() || status.mLeader == status.mSelf) {
-      aRespond(UnavailableResponse("no leader is known"));
-      return;
-    }
-    HttpResponse response;
-    response.mStatus = 307;
-    const SocketAddress target{ leader->mAddress.mIp, mSettings.mControlAddress.mPort };
-    response.mHeaders.push_back(
-      { "Location", fmt::format("http://{}{}", FormatSocketAddress(target), aPath) });
-    aRespond(std::move(response));
+  if (!CheckLeading(aPath, aRespond)) {
     return;
   }
   const DocumentVersion version = aDocument.mVersion;
--- a/src/directory.cpp
+++ b/src/directory.cpp
@@ -47,6 +47,15 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+// Returns whether the two ends of a warm-up differ, as far as they are not in the past.
+bool
+DiffersInWarmup(const UpstreamInfo& aLeft, const UpstreamInfo& aRight, TimePoint aNow)
+{
+  const Duration difference =
+    std::max(aLeft.mWarmupUntil, aNow) - std::max(aRight.mWarmupUntil, aNow);
+  return std::chrono::abs(difference) > kWarmupTolerance;
+}
+
 // Total order of the records of one upstream: by incarnation, then by sequence number, then records
 // that are gone after those that are not. Records that agree in all three are ordered by content,
 // so that every table keeps the same one.
@@ -115,7 +124,8 @@
     }
     if (IsRegisteredHere(aDirectory, held) && !held.mGone &&
         held.mInfo.mIncarnation == aInfo.mIncarnation &&
-        SerializeContent(held.mInfo) == SerializeContent(aInfo)) {
+        SerializeContent(held.mInfo) == SerializeContent(aInfo) &&
+        !DiffersInWarmup(held.mInfo, aInfo, aNow)) {
       held.mLastSequence = aInfo.mSequence;
       held.mConfirmedAt = aNow;
       const bool listed = held.mListed;
@@ -154,6 +164,12 @@
       // An equal record may have been confirmed more recently at the sender.
       if (!IsGreater(held, aRecord) && !IsRegisteredHere(aDirectory, held) && !held.mGone) {
         held.mConfirmedAt = std::max(held.mConfirmedAt, confirmedAt);
+        if (aRecord.mInfo.mWarmupUntil > held.mInfo.mWarmupUntil &&
+            DiffersInWarmup(aRecord.mInfo, held.mInfo, aNow)) {
+          held.mInfo.mWarmupUntil = aRecord.mInfo.mWarmupUntil;
+          aDirectory.mChangedUpstreams.insert(held.mInfo.mId);
+          return AnnounceOutcome::Changed;
+        }
       }
       return AnnounceOutcome::Stale;
     }
--- a/src/directory.h
+++ b/src/directory.h
@@ -35,11 +35,14 @@
 inline constexpr std::size_t kMaxRecords = 65'536;
 // Number of hashes in a digest. Records are assigned to buckets by the hash of their identifier.
 inline constexpr std::size_t kDigestBuckets = 64;
+// A change of the end of an upstream's warm-up by more than this time is announced to other hosts.
+// Smaller differences arise because announcements and messages take different times to arrive.
+inline constexpr Duration kWarmupTolerance = std::chrono::milliseconds(500);
 
 struct DirectoryRecord
 {
   // mInfo.mSequence is the sequence number of the last change. Renewals do not raise it, so that
-  // they do not change the digest.
+  // they do not change the digest. mInfo.mWarmupUntil is not part of the order of records.
   UpstreamInfo mInfo;
   // The host that received the announcement, and its incarnation.
   std::string mRegistrar;
@@ -98,9 +101,11 @@
 ApplyAnnouncement(Directory& aDirectory, const UpstreamInfo& aInfo, TimePoint aNow);
 
 // Applies a record that another host sent. aIdle is the time since the sender last had the record
-// confirmed. If this host is the registrar and has received a renewal that is newer than aRecord,
-// it keeps its own record and sets the sequence number of that record to the one of the renewal.
-// The outcome is then Stale, but TakeChanges returns the upstream.
+// confirmed. An equal record from which the upstream warms up for longer changes the known one,
+// because hosts of an earlier build pass records on without their warm-up. If this host is the
+// registrar and has received a renewal that is newer than aRecord, it keeps its own record and sets
+// the sequence number of that record to the one of the renewal. The outcome is then Stale, but
+// TakeChanges returns the upstream.
 AnnounceOutcome
 ApplyRecord(Directory& aDirectory, const DirectoryRecord& aRecord, Duration aIdle, TimePoint aNow);
 
--- a/src/discovery_node.cpp
+++ b/src/discovery_node.cpp
@@ -118,6 +118,23 @@
   aMessage.set_idle_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(aIdle.count(), 0)) / 1000);
 }
 
+void
+SetWarmup(const UpstreamInfo& aInfo, TimePoint aNow, rpc::Record& aMessage)
+{
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(aInfo.mWarmupUntil - aNow);
+  aMessage.set_warming_ms(left.count() > 0 ? static_cast<std::uint64_t>(left.count()) : 0);
+}
+
+TimePoint
+WarmupUntil(const rpc::Record& aMessage, TimePoint aNow)
+{
+  // Keeps the sum within the range of TimePoint. No upstream warms up for longer.
+  constexpr std::chrono::milliseconds kMaxWarmup = std::chrono::hours(24);
+  const std::chrono::milliseconds left(
+    std::min<std::uint64_t>(aMessage.warming_ms(), kMaxWarmup.count()));
+  return left.count() > 0 ? aNow + left : TimePoint();
+}
+
 Expected<DirectoryRecord>
 FromMessage(const rpc::Record& aMessage)
 {
--- a/src/discovery_node.h
+++ b/src/discovery_node.h
@@ -122,8 +122,14 @@
 // Conversion of a record to its message. aIdle is the time since the record was last confirmed.
 void
 ToMessage(const DirectoryRecord& aRecord, Duration aIdle, rpc::Record& aMessage);
-// Conversion back. Fails with BadRequest if the identifier is empty, the slots are 0, or the
-// address, the key range or the state is invalid.
+// Adds the time for which the upstream still warms up at aNow, when the message is sent.
+void
+SetWarmup(const UpstreamInfo& aInfo, TimePoint aNow, rpc::Record& aMessage);
+// Until when the upstream of a message that arrived at aNow warms up.
+TimePoint
+WarmupUntil(const rpc::Record& aMessage, TimePoint aNow);
+// Conversion back, without the warm-up. Fails with BadRequest if the identifier is empty, the slots
+// are 0, or the address, the key range or the state is invalid.
 Expected<DirectoryRecord>
 FromMessage(const rpc::Record& aMessage);
 
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -99,6 +99,16 @@
                  aMessage.of_content() };
 }
 
+EvacuationReport
+EvacuationsOf(const rpc::FleetSyncReply& aReply)
+{
+  const auto& evacuated = aReply.evacuated();
+  const auto& uncommitted = aReply.uncommitted_evacuations();
+  return { { aReply.evacuation_revision(), { evacuated.begin(), evacuated.end() } },
+           { uncommitted.begin(), uncommitted.end() },
+           aReply.current() };
+}
+
 DocumentIdentity
 DocumentOf(const rpc::FleetSyncRequest& aRequest)
 {
--- a/src/fleet_messages.h
+++ b/src/fleet_messages.h
@@ -3,6 +3,7 @@
 #define APRICOTYARD_FLEET_MESSAGES_H
 
 #include "document_choice.h"
+#include "evacuation.h"
 #include "fleet.pb.h"
 #include "fleet_registry.h"
 #include "quarantine.h"
@@ -31,6 +32,10 @@
   ToMessage(aStrike, confirmed ? *aOut.add_crashes() : *aOut.add_unconfirmed_crashes());
 }
 
+// What the sender says about evacuations.
+EvacuationReport
+EvacuationsOf(const rpc::FleetSyncReply& aReply);
+
 // The document that the sender holds.
 DocumentIdentity
 DocumentOf(const rpc::FleetSyncRequest& aRequest);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "cmdline.h"
 #include "discovery_node.h"
 #include "document_state.h"
+#include "evacuation_metrics.h"
 #include "fleet_client.h"
 #include "fleet_messages.h"
 #include "gateway_subset.h"
@@ -14,6 +15,9 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 namespace apricotyard {
 
 namespace {
@@ -95,6 +99,7 @@
   Expected<void> Listen();
   Expected<void> ListenForMetrics();
   void OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply, TimePoint aSentAt);
+  void ApplyEvacuations(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void ApplySubset(const std::string& aIp, const rpc::FleetSyncReply& aReply);
   void ReportLoad();
   // Learns of crashes that other gateways saw.
@@ -146,6 +151,7 @@
   };
   // By the coordinator's IP address.
   std::map<std::string, SubsetReport> mSubsetReports;
+  EvacuationView mEvacuations;
   // Crashes that this gateway or others saw.
   StrikeLog mStrikes;
   // The largest of the numbers that coordinators reported.
@@ -184,6 +190,7 @@
                       R"(data_centre="other")");
   Gauge& mSinceCoordinatorGauge = mMetrics.AddGauge("apricot_coordinator_silence_seconds",
                                                     "Time since a coordinator answered last.");
+  EvacuationGauges mEvacuationGauges{ mMetrics };
   TimePoint mLastCoordinatorReplyAt;
   // Time of the first coordinator reply after all had been silent.
   TimePoint mCoordinatorsReturnedAt;
@@ -268,6 +275,7 @@
   auto server = ServeMetrics(mLoop, mSettings.mMetricsAddress, mMetrics, [this] {
     mRelay.UpdateGauges();
     mVersionGauge.Set(static_cast<double>(mVersion));
+    mEvacuationGauges.Update(EvacuatedDataCentres(mEvacuations));
     mGatewaysGauge.Set(mGatewayCount);
     const FleetClient::Traffic near = mClient->TrafficOf(true);
     const FleetClient::Traffic far = mClient->TrafficOf(false);
@@ -320,6 +328,7 @@
                { { "coordinator", aIp }, { "reason", record.error().mMessage } });
       continue;
     }
+    record->mInfo.mWarmupUntil = WarmupUntil(message, now);
     const Duration idle = std::chrono::milliseconds(message.idle_ms());
     changed |= ApplyRecord(mDirectory, *record, idle, aSentAt) == AnnounceOutcome::Changed;
   }
@@ -333,6 +342,8 @@
                        aSentAt - std::chrono::milliseconds(host.idle_ms()));
     }
   }
+  // Before the upstreams and the document, so that no request is sent without it.
+  ApplyEvacuations(aIp, aReply);
   ApplyCrashes(aReply);
   ApplyPeers(aReply);
   ApplySubset(aIp, aReply);
@@ -342,6 +353,20 @@
   ConsiderDocument(aIp, aReply);
 }
 
+void
+Gateway::ApplyEvacuations(const std::string& aIp, const rpc::FleetSyncReply& aReply)
+{
+  if (!LearnEvacuations(mEvacuations, aIp, EvacuationsOf(aReply), SteadyNow())) {
+    return;
+  }
+  const std::set<std::string> dataCentres = EvacuatedDataCentres(mEvacuations);
+  LogEvent(Event::EvacuationsAdopted,
+           { { "revision", mEvacuations.mCommitted.mRevision },
+             { "evacuated", fmt::format("{}", fmt::join(dataCentres, ",")) },
+             { "coordinator", aIp } });
+  mRelay.SetEvacuated(dataCentres);
+}
+
 // A gateway is active if a coordinator of its data centre names it to callers. Without such a
 // coordinator, any other counts, though it may not know all gateways and name too many.
 void
--- a/src/placement.h
+++ b/src/placement.h
@@ -41,7 +41,16 @@
   bool mMisplaced = false;
   // An open connection is available, so a request need not wait for a handshake.
   bool mConnected = true;
+  // Keeps to the lower one of mDeclaredLimit and the limit during the warm-up.
   RequestLimit mRequestLimit;
+  // Requests per second that it takes over all gateways, as it said last. Empty for any rate.
+  std::optional<double> mDeclaredLimit;
+  // Requests per second that it takes over all gateways while it warms up; 0 for any rate.
+  double mWarmupRate = 0;
+  // Whether it warmed up when UpdateWarmup was last called.
+  bool mWarmingUp = false;
+  // Its data centre is evacuated.
+  bool mEvacuated = false;
   // It announced that it is about to stop.
   bool mLeaving = false;
   // It wants no request until this time, at its own wish. mHoldCut is true if it wished for longer.
--- a/src/platform_protocol.h
+++ b/src/platform_protocol.h
@@ -46,6 +46,8 @@
   ReadDocument,
   FindGateways,
   CheckReady,
+  BeginEvacuation,
+  EndEvacuation,
   Unknown,
 };
 
@@ -56,7 +58,10 @@
   // Announce: all fields are set. Leave: the identifier, and the incarnation or 0 if the call has
   // none.
   UpstreamInfo mUpstream;
-  // FindGateways: the caller's data centre.
+  // Announce: how much longer the upstream warms up.
+  Duration mWarmupLeft{};
+  // FindGateways: the caller's data centre. BeginEvacuation and EndEvacuation: the data centre to
+  // which the order applies.
   std::string mDataCentre;
 };
 
--- a/src/raft_member.cpp
+++ b/src/raft_member.cpp
@@ -413,6 +413,7 @@
   status.mLastIndex = RaftLastIndex(mRaft);
   status.mCommitted = mRaft.mCommitIndex;
   status.mApplied = mAppliedIndex;
+  status.mAppliedTerm = mAppliedTerm;
   status.mMembers = RaftMembers(mRaft);
   status.mMembersIndex = mRaft.mMembers.rbegin()->first;
   for (LogMember& member : status.mMembers) {
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,5 +1,5 @@
-#include "relay_state.h"
 #include "forwarding.h"
+#include "relay_state.h"
 #include "settings.h"
 
 #include <charconv>
@@ -66,6 +66,7 @@
   mState->mLoop.CancelTimer(mState->mPreconnectTimer);
   mState->mLoop.CancelTimer(mState->mReachabilityTimer);
   mState->mLoop.CancelTimer(mState->mSilenceTimer);
+  mState->mLoop.CancelTimer(mState->mWarmupTimer);
 }
 
 void
@@ -93,6 +94,7 @@
 Relay::SetRouting(std::shared_ptr<const RoutingTable> aRouting)
 {
   mState->mRoutingTable = std::move(aRouting);
+  mState->UpdateWarmups();
   mState->SchedulePreconnect();
 }
 
@@ -100,6 +102,7 @@
 Relay::SetGatewayCount(std::size_t aCount)
 {
   mState->mGatewayCount = std::max<std::size_t>(aCount, 1);
+  mState->UpdateWarmups();
 }
 
 void
@@ -194,6 +197,8 @@
     counts.mLimited += replica->mRequestLimit.mTotal ? 1 : 0;
     counts.mLeaving += replica->mLeaving ? 1 : 0;
     counts.mHeld += replica->mHeldUntil > now ? 1 : 0;
+    counts.mWarmingUp += replica->mWarmingUp ? 1 : 0;
+    counts.mEvacuated += replica->mEvacuated ? 1 : 0;
   }
   state.mMetrics.SetReplicaCounts(counts);
   state.mMetrics.SetStoppedRequests(CountStopped(state.mLedger));
@@ -222,6 +227,7 @@
       replica = std::move(view);
     }
     replica->mInfo = info;
+    replica->mEvacuated = mState->mEvacuated.contains(info.mDataCentre);
   }
   std::erase_if(mState->mReplicas,
                 [&listedIds](const auto& aEntry) { return !listedIds.contains(aEntry.first); });
@@ -234,6 +240,7 @@
     mState->mServices[replica->mInfo.mService].mReplicas.push_back(replica.get());
   }
   mState->mDataCentreCount = std::max<std::size_t>(dataCentres.size(), 1);
+  mState->UpdateWarmups();
   mState->SchedulePreconnect();
 }
 
--- a/src/relay.h
+++ b/src/relay.h
@@ -41,6 +41,9 @@
   void SetRouting(std::shared_ptr<const RoutingTable> aRouting);
   // Replaces the list of known upstreams.
   void SetUpstreams(const std::vector<UpstreamInfo>& aUpstreams);
+  // Sets the data centres whose replicas get no requests. Requests that were sent are left to
+  // finish; those that wait for a connection or in a queue go to other replicas or fail.
+  void SetEvacuated(std::set<std::string> aDataCentres);
   // Number of gateways that share the replicas, including this one. A count of 0 is treated as 1.
   void SetGatewayCount(std::size_t aCount);
   // Whether callers are sent to this gateway, which is the default. An inactive one serves requests
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -24,6 +24,10 @@
       aRegistry.AddGauge("apricot_replicas_leaving", "Replicas that announced their stop."))
   , mHeldReplicas(
       aRegistry.AddGauge("apricot_replicas_held", "Replicas that want no requests for some time."))
+  , mWarmingReplicas(aRegistry.AddGauge("apricot_replicas_warming_up",
+                                        "Replicas that get fewer requests while they warm up."))
+  , mEvacuatedReplicas(
+      aRegistry.AddGauge("apricot_replicas_evacuated", "Replicas in evacuated data centres."))
   , mStoppedRequests(aRegistry.AddGauge("apricot_requests_stopped",
                                         "Requests by service and content that are stopped because "
                                         "they crash replicas."))
@@ -134,6 +138,8 @@
   mLimitedReplicas.Set(static_cast<double>(aCounts.mLimited));
   mLeavingReplicas.Set(static_cast<double>(aCounts.mLeaving));
   mHeldReplicas.Set(static_cast<double>(aCounts.mHeld));
+  mWarmingReplicas.Set(static_cast<double>(aCounts.mWarmingUp));
+  mEvacuatedReplicas.Set(static_cast<double>(aCounts.mEvacuated));
 }
 
 void
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -25,12 +25,14 @@
   Abandoned,
 };
 
-// Replicas by what they say about themselves.
+// Replicas that get fewer requests or none, by the reason.
 struct ReplicaCounts
 {
   std::size_t mLimited = 0;
   std::size_t mLeaving = 0;
   std::size_t mHeld = 0;
+  std::size_t mWarmingUp = 0;
+  std::size_t mEvacuated = 0;
 };
 
 class RelayMetrics
@@ -79,6 +81,8 @@
   Gauge& mLimitedReplicas;
   Gauge& mLeavingReplicas;
   Gauge& mHeldReplicas;
+  Gauge& mWarmingReplicas;
+  Gauge& mEvacuatedReplicas;
   Gauge& mStoppedRequests;
   Counter& mLocalBytes;
   Counter& mRemoteBytes;
--- a/src/relay_send.cpp
+++ b/src/relay_send.cpp
@@ -238,6 +238,7 @@
   attempt.mOwner = aRelayed;
   attempt.mSubrequestIndex = aIndex;
   attempt.mUpstream = replica->mInfo.mId;
+  attempt.mDataCentre = replica->mInfo.mDataCentre;
   attempt.mSentAt = now;
   attempt.mIsFirstSend = subrequest.mSendCount == 0;
   attempt.mIsLocal = replica->mInfo.mDataCentre == mLimits.mDataCentre;
@@ -322,8 +323,7 @@
     LogEvent(Event::SignalUnreadable,
              { { "upstream", aReplica.mInfo.mId }, { "header", signals.mUnreadable } });
   }
-  const SignalChange change = ApplySignals(
-    aReplica, signals, { mGatewayCount, HashToFraction(mLimits.mHost, aReplica.mInfo.mId) }, now);
+  const SignalChange change = ApplySignals(aReplica, signals, DivisionOf(aReplica), now);
   if (change.mLimitChanged) {
     LogEvent(Event::RequestLimitChanged,
              { { "upstream", aReplica.mInfo.mId },
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -3,6 +3,7 @@
 //   relay.cpp            accepts requests, judges replies and finishes requests
 //   relay_send.cpp       chooses replicas, opens connections, sends, queues, retries and hedges
 //   relay_passing.cpp    passes requests on to other gateways while no replica can be reached
+//   relay_evacuation.cpp applies evacuations of data centres and warm-ups of replicas
 //   relay_crashes.cpp    attributes crashes of replicas to requests
 //   relay_responses.cpp  makes the responses to callers
 #ifndef APRICOTYARD_RELAY_STATE_H
@@ -88,6 +89,8 @@
   std::shared_ptr<RelayedRequest> mOwner;
   std::size_t mSubrequestIndex = 0;
   std::string mUpstream;
+  // Of the replica, which may no longer be listed.
+  std::string mDataCentre;
   TransferId mTransfer = 0;
   TimePoint mSentAt;
   bool mIsFirstSend = true;
@@ -212,6 +215,15 @@
   // Calls SendQueued once the replicas' own words allow the next sub-request.
   void ScheduleQueuedSend(const std::string& aService);
   void HandleSignals(ReplicaView& aReplica, const ClientReply& aReply);
+  LimitDivision DivisionOf(const ReplicaView& aReplica) const
+  {
+    return { mGatewayCount, HashToFraction(mLimits.mHost, aReplica.mInfo.mId) };
+  }
+  // Applies the warm-ups of all replicas, and again when the next one ends.
+  void UpdateWarmups();
+  // Ends the attempts at evacuated replicas that wait for a connection, and sends them elsewhere.
+  void MoveUnsentAttempts();
+  void SendAllQueued();
   void OnHedgeTimer(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
   void OnReply(AttemptId aAttemptId, ClientReply aReply);
   void OnSubrequestAnswered(const std::shared_ptr<RelayedRequest>& aRelayed,
@@ -283,6 +295,8 @@
   PlacementLimits mLimits;
   std::shared_ptr<const RoutingTable> mRoutingTable;
   std::map<std::string, std::unique_ptr<ReplicaView>> mReplicas;
+  std::set<std::string> mEvacuated;
+  TimerId mWarmupTimer = 0;
   std::unordered_map<std::string, RelayService> mServices;
   // Keyed by route name.
   std::map<std::string, RouteLatencies> mRouteLatencies;
--- a/src/replica_signals.cpp
+++ b/src/replica_signals.cpp
@@ -1,6 +1,7 @@
 #include "replica_signals.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace apricotyard {
 
@@ -19,6 +20,17 @@
   }
 }
 
+// The lower one of the limit that the replica names and that of its warm-up.
+std::optional<double>
+LimitOf(const ReplicaView& aReplica, TimePoint aNow)
+{
+  if (!IsWarmingUp(aReplica, aNow)) {
+    return aReplica.mDeclaredLimit;
+  }
+  const double warmupLimit = aReplica.mWarmupRate * kWarmupUse;
+  return std::min(aReplica.mDeclaredLimit.value_or(warmupLimit), warmupLimit);
+}
+
 } // namespace
 
 SignalChange
@@ -31,8 +43,9 @@
   // A value that cannot be read takes nothing back.
   if (aSignals.mRequestLimit || aSignals.mUnreadable.empty()) {
     change.mLimitChanged =
-      aReplica.mRequestLimit.mTotal.has_value() != aSignals.mRequestLimit.has_value();
-    UpdateRequestLimit(aReplica.mRequestLimit, aSignals.mRequestLimit, aDivision, aNow);
+      aReplica.mDeclaredLimit.has_value() != aSignals.mRequestLimit.has_value();
+    aReplica.mDeclaredLimit = aSignals.mRequestLimit;
+    UpdateRequestLimit(aReplica.mRequestLimit, LimitOf(aReplica, aNow), aDivision, aNow);
   }
   // A reply that was sent before the announcement may arrive after it, so it takes nothing back.
   change.mLeavingChanged = aSignals.mLeaving && !aReplica.mLeaving;
@@ -46,11 +59,31 @@
   return change;
 }
 
+bool
+IsWarmingUp(const ReplicaView& aReplica, TimePoint aNow)
+{
+  return aReplica.mWarmupRate > 0 && aReplica.mInfo.mWarmupUntil > aNow;
+}
+
+bool
+UpdateWarmup(ReplicaView& aReplica,
+             double aWarmupRate,
+             const LimitDivision& aDivision,
+             TimePoint aNow)
+{
+  aReplica.mWarmupRate = aWarmupRate;
+  const bool warmedUp = std::exchange(aReplica.mWarmingUp, IsWarmingUp(aReplica, aNow));
+  if (warmedUp || aReplica.mWarmingUp) {
+    UpdateRequestLimit(aReplica.mRequestLimit, LimitOf(aReplica, aNow), aDivision, aNow);
+  }
+  return warmedUp != aReplica.mWarmingUp;
+}
+
 bool
 IsUsable(const ReplicaView& aReplica)
 {
   return aReplica.mInfo.mState == UpstreamState::Ready && !aReplica.mMisplaced &&
-         !aReplica.mLeaving;
+         !aReplica.mLeaving && !aReplica.mEvacuated;
 }
 
 bool
--- a/src/replica_signals.h
+++ b/src/replica_signals.h
@@ -28,7 +28,27 @@
              const LimitDivision& aDivision,
              TimePoint aNow);
 
-// Whether the replica may get requests now or later, as far as its own words and its record tell.
+// Part of the rate of the document that is used during a warm-up. Shares of one to two requests per
+// second and gateway allow bursts of one request at each gateway; with this part they stay within
+// 1.5 times the rate. See docs/design/evacuation.md.
+inline constexpr double kWarmupUse = 0.75;
+
+// Whether the replica gets fewer requests because it warms up.
+bool
+IsWarmingUp(const ReplicaView& aReplica, TimePoint aNow);
+
+// Applies the end of the warm-up in the announcement and the rate that the document allows during
+// it. Must be called after a change of either of them or of aDivision, and when the warm-up ends.
+// Returns whether the replica began or ceased to get fewer requests. aNow must not decrease for one
+// view.
+bool
+UpdateWarmup(ReplicaView& aReplica,
+             double aWarmupRate,
+             const LimitDivision& aDivision,
+             TimePoint aNow);
+
+// Whether the replica may get requests now or later, as far as its own words, its record and the
+// operator's evacuations tell.
 bool
 IsUsable(const ReplicaView& aReplica);
 
--- a/src/replicated_log.h
+++ b/src/replicated_log.h
@@ -58,6 +58,9 @@
   std::uint64_t mLastIndex = 0;
   std::uint64_t mCommitted = 0;
   std::uint64_t mApplied = 0;
+  // Term of the entry at mApplied. If it equals mTerm, the state includes everything that was
+  // committed before the present leader was elected.
+  std::uint64_t mAppliedTerm = 0;
   std::vector<LogMember> mMembers;
   // Log index of mMembers.
   std::uint64_t mMembersIndex = 0;
--- a/src/types.h
+++ b/src/types.h
@@ -104,6 +104,8 @@
   std::uint32_t mConnections = 1;
   std::vector<IndexVersion> mVersions;
   UpstreamState mState = UpstreamState::Starting;
+  // Until when the upstream warms up, on the clock of this host; in the past if it does not.
+  TimePoint mWarmupUntil{};
 
   bool operator==(const UpstreamInfo&) const = default;
 };
--- a/tests/crashing_server.cpp
+++ b/tests/crashing_server.cpp
@@ -52,10 +52,28 @@
   }
 }
 
+std::size_t
+SilentAddress::AcceptAndRead()
+{
+  for (int fd = 0;
+       (fd = accept4(mListener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
+    mAccepted.push_back(fd);
+  }
+  std::array<char, 4096> buffer{};
+  for (const int fd : mAccepted) {
+    for (ssize_t size = 0; (size = read(fd, buffer.data(), buffer.size())) > 0;) {
+      mBytes += static_cast<std::size_t>(size);
+    }
+  }
+  return mBytes;
+}
+
 SilentAddress::~SilentAddress()
 {
-  for (const int fd : mFillers) {
-    close(fd);
+  for (const std::vector<int>* const fds : { &mFillers, &mAccepted }) {
+    for (const int fd : *fds) {
+      close(fd);
+    }
   }
   close(mListener);
 }
--- a/tests/crashing_server.h
+++ b/tests/crashing_server.h
@@ -28,9 +28,15 @@
   SilentAddress(const SilentAddress&) = delete;
   SilentAddress& operator=(const SilentAddress&) = delete;
 
+  // Accepts the connections that are established, so that others can follow. Returns how many bytes
+  // arrived on all of them since the start.
+  std::size_t AcceptAndRead();
+
 private:
   int mListener;
   std::vector<int> mFillers;
+  std::vector<int> mAccepted;
+  std::size_t mBytes = 0;
 };
 
 // What the connections and the address of a crashed server do.
--- a/tests/process_protocol.cpp
+++ b/tests/process_protocol.cpp
@@ -23,12 +23,17 @@
 DecodeCall(const HttpRequest& aRequest)
 {
   const std::string prefix = "/upstreams/";
+  const std::string evacuationPrefix = "/evacuated/";
   FleetCall call;
   if (aRequest.mPath == "/document") {
     call.mKind =
       aRequest.mMethod == "PUT" ? FleetCallKind::OfferDocument : FleetCallKind::ReadDocument;
   } else if (aRequest.mPath == "/ready") {
     call.mKind = FleetCallKind::CheckReady;
+  } else if (aRequest.mPath.starts_with(evacuationPrefix)) {
+    call.mKind =
+      aRequest.mMethod == "DELETE" ? FleetCallKind::EndEvacuation : FleetCallKind::BeginEvacuation;
+    call.mDataCentre = aRequest.mPath.substr(evacuationPrefix.size());
   } else if (aRequest.mPath.starts_with(prefix)) {
     UpstreamInfo& info = call.mUpstream;
     call.mKind = aRequest.mMethod == "PUT" ? FleetCallKind::Announce : FleetCallKind::Leave;
@@ -39,8 +44,10 @@
     info.mService = service.empty() ? "s" : service;
     info.mAddress = ParseSocketAddress(std::string(aRequest.Argument("address")))
                       .value_or(SocketAddress{ "127.0.0.1", 1 });
-    info.mDataCentre = "a";
+    const std::string dataCentre(aRequest.Argument("data_centre"));
+    info.mDataCentre = dataCentre.empty() ? "a" : dataCentre;
     info.mRange = { 0, kKeySpace };
+    call.mWarmupLeft = std::chrono::milliseconds(NumberArgument(aRequest, "warmup", 0));
     info.mSlots = kSlots;
     info.mState =
       aRequest.Argument("state") == "draining" ? UpstreamState::Draining : UpstreamState::Ready;
--- a/tests/process_protocol.h
+++ b/tests/process_protocol.h
@@ -17,7 +17,8 @@
 TestHeaderNames();
 
 // Calls are PUT and DELETE /upstreams/ID with the arguments sequence, state, service, address,
-// incarnation, all optional; PUT and GET /document; GET /ready. A document is its version, "one" or
+// incarnation, data_centre, warmup (milliseconds), all optional; PUT and GET /document; POST and
+// DELETE /evacuated/DATA-CENTRE; GET /ready. A document is its version, "one" or
 // "all", and the services of its only route, which has the host "h" and the prefix "/". The version
 // alone is a document without a route.
 PlatformProtocol
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -63,6 +63,8 @@
   CPPUNIT_TEST(NumbersOutOfRangeInvalidateDocuments);
   CPPUNIT_TEST(DecodesLeave);
   CPPUNIT_TEST(DecodesCallKinds);
+  CPPUNIT_TEST(DecodesWarmup);
+  CPPUNIT_TEST(DecodesEvacuations);
   CPPUNIT_TEST(DecodesDocument);
   CPPUNIT_TEST(RejectsMalformedDocuments);
   CPPUNIT_TEST(LimitsNumberOfGateways);
@@ -228,6 +230,37 @@
     CPPUNIT_ASSERT_EQUAL(std::string("z"), DecodeCall(resolve)->mDataCentre);
   }
 
+  void DecodesWarmup()
+  {
+    Json body = MakeHeartbeat();
+    body["warmup_left_ms"] = 2500.5;
+    const auto call = DecodeCall(MakeRequest("PUT", "/instances/i-1", body.dump()));
+    CPPUNIT_ASSERT(call.has_value());
+    CPPUNIT_ASSERT(call->mWarmupLeft == std::chrono::microseconds(2'500'500));
+    body["warmup_left_ms"] = -1;
+    CPPUNIT_ASSERT(!DecodeCall(MakeRequest("PUT", "/instances/i-1", body.dump())));
+    body["warmup_left_ms"] = 1e300;
+    CPPUNIT_ASSERT(!DecodeCall(MakeRequest("PUT", "/instances/i-1", body.dump())));
+    body["warmup_left_ms"] = "1";
+    CPPUNIT_ASSERT(!DecodeCall(MakeRequest("PUT", "/instances/i-1", body.dump())));
+  }
+
+  void DecodesEvacuations()
+  {
+    const auto begin = DecodeCall(MakeRequest("POST", "/evacuation/eu-1"));
+    CPPUNIT_ASSERT(begin && begin->mKind == FleetCallKind::BeginEvacuation);
+    CPPUNIT_ASSERT_EQUAL(std::string("eu-1"), begin->mDataCentre);
+    const auto end = DecodeCall(MakeRequest("DELETE", "/evacuation/hall 2/b"));
+    CPPUNIT_ASSERT(end && end->mKind == FleetCallKind::EndEvacuation);
+    CPPUNIT_ASSERT_EQUAL(std::string("hall 2/b"), end->mDataCentre);
+    CPPUNIT_ASSERT(DecodeCall(MakeRequest("GET", "/evacuation/b"))->mKind ==
+                   FleetCallKind::Unknown);
+    CPPUNIT_ASSERT(DecodeCall(MakeRequest("POST", "/evacuation"))->mKind == FleetCallKind::Unknown);
+    CPPUNIT_ASSERT(!DecodeCall(MakeRequest("POST", "/evacuation/")));
+    CPPUNIT_ASSERT(!DecodeCall(MakeRequest("POST", "/evacuation/a\nb")));
+    CPPUNIT_ASSERT(!DecodeCall(MakeRequest("POST", "/evacuation/" + std::string(257, 'a'))));
+  }
+
   void DecodesDocument()
   {
     const auto document = DecodeDocument(MakeDocument().dump());
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -111,7 +111,7 @@
 
   // Gives the relay the replicas and a routing table that consists of aRoute with the prefix "/".
   // Each replica accepts aMaxConnections.
-  void Publish(Route aRoute, std::uint32_t aMaxConnections = 100)
+  void Publish(Route aRoute, std::uint32_t aMaxConnections = 100, double aWarmupRate = 0)
   {
     RoutingDocument document;
     document.mVersion = 1;
@@ -120,7 +120,7 @@
     for (const auto& replica : mReplicas) {
       upstreams.push_back(replica->mInfo);
       if (services.insert(replica->mInfo.mService).second) {
-        document.mServices.push_back({ replica->mInfo.mService, aMaxConnections });
+        document.mServices.push_back({ replica->mInfo.mService, aMaxConnections, aWarmupRate });
       }
     }
     aRoute.mHost = "h";
@@ -130,6 +130,16 @@
     mRelay.SetRouting(std::make_shared<RoutingTable>(document));
   }
 
+  // The same in another data centre.
+  FakeReplica& AddReplicaIn(const std::string& aDataCentre,
+                            const std::string& aService,
+                            RequestHandler aHandler)
+  {
+    FakeReplica& added = AddReplica(aService, std::move(aHandler));
+    added.mInfo.mDataCentre = aDataCentre;
+    return added;
+  }
+
   // Adds a replica of aService without a server.
   FakeReplica& AddReplicaWithoutServer(const std::string& aService)
   {
@@ -388,6 +398,19 @@
   CPPUNIT_TEST(LeavingReplicaGetsNoQueuedRequest);
   CPPUNIT_TEST(LeavingReplicaGetsNoConnection);
   CPPUNIT_TEST(RestartedReplicaIsServedAgain);
+  CPPUNIT_TEST(EvacuatedReplicaGetsNoFirstSend);
+  CPPUNIT_TEST(EvacuatedReplicaGetsNoPartOfAGather);
+  CPPUNIT_TEST(EvacuatedReplicaGetsNoRetry);
+  CPPUNIT_TEST(EvacuatedReplicaGetsNoHedge);
+  CPPUNIT_TEST(EvacuatedReplicaGetsNoQueuedRequest);
+  CPPUNIT_TEST(EvacuatedReplicaGetsNoConnection);
+  CPPUNIT_TEST(EvacuatedReplicaGetsNothingOnALateConnection);
+  CPPUNIT_TEST(ReplicaAnnouncedDuringEvacuationGetsNothing);
+  CPPUNIT_TEST(SendsBeforeTheEvacuationAreLeftToFinish);
+  CPPUNIT_TEST(ReplicaIsServedAgainAfterEvacuation);
+  CPPUNIT_TEST(WarmingReplicaGetsNoMoreThanItsRate);
+  CPPUNIT_TEST(RateOfZeroLeavesWarmingReplicaUnlimited);
+  CPPUNIT_TEST(WarmupEndsInTime);
   CPPUNIT_TEST(ServiceThatLeavesRefusesAtOnce);
   CPPUNIT_TEST(ReplicaThatWantsNoRequestsGetsNone);
   CPPUNIT_TEST(UnsignedReplyAnnouncesNothing);
@@ -931,6 +954,231 @@
     CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
   }
 
+  // Also guards against a wait: without other replicas, requests are refused at once.
+  void EvacuatedReplicaGetsNoFirstSend()
+  {
+    RelayFixture fixture;
+    const FakeReplica& evacuated = fixture.AddReplicaIn("b", "s", RespondWith(200, "", "s1"));
+    fixture.Publish(SingleServiceRoute(false));
+    fixture.TestedRelay().SetEvacuated({ "b", "c" });
+    const TimePoint start = SteadyNow();
+    const ClientReply refused = fixture.Get("/");
+    CPPUNIT_ASSERT_EQUAL(503, refused.mStatus);
+    CPPUNIT_ASSERT(SteadyNow() - start < milliseconds(50));
+    const FakeReplica& other = fixture.AddReplica("s", RespondWith(200, "", "s2"));
+    fixture.Publish(SingleServiceRoute(false));
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    }
+    CPPUNIT_ASSERT(evacuated.mReceived.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(20), other.mReceived.size());
+    CPPUNIT_ASSERT(fixture.HasMetricLine("apricot_replicas_evacuated 1"));
+  }
+
+  void EvacuatedReplicaGetsNoPartOfAGather()
+  {
+    RelayFixture fixture;
+    const FakeReplica& evacuated = fixture.AddReplicaIn("b", "s0", RespondWith(200, "", "s1"));
+    fixture.AddReplica("s1", RespondWith(200, "", "s2"));
+    fixture.Publish(GatherRoute(2, 0.5));
+    CPPUNIT_ASSERT_EQUAL(std::string("0"), std::string(fixture.Get("/").Header("x-missing")));
+    fixture.TestedRelay().SetEvacuated({ "b" });
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(fixture.Get("/").Header("x-missing")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), evacuated.mReceived.size());
+    fixture.Publish(GatherRoute(2, 0.9));
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), evacuated.mReceived.size());
+  }
+
+  // The order arrives while the request is at the replica that turns it away.
+  void EvacuatedReplicaGetsNoRetry()
+  {
+    RelayFixture fixture;
+    fixture.AddReplica("s", [&](const HttpRequest&, const HttpResponder& aRespond) {
+      fixture.TestedRelay().SetEvacuated({ "b" });
+      aRespond({ 503, "", "text/plain", { { "X-Not-Run", "1" } } });
+    });
+    const FakeReplica& evacuated = fixture.AddReplicaIn("b", "s", RespondWith(200, "", "s2"));
+    fixture.Publish(SingleServiceRoute(true));
+    // The local replica is preferred.
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+    CPPUNIT_ASSERT(evacuated.mReceived.empty());
+  }
+
+  void EvacuatedReplicaGetsNoHedge()
+  {
+    RelayFixture fixture;
+    std::vector<HttpResponder> pending;
+    const FakeReplica& silent = fixture.AddReplica("s", NeverRespond(pending));
+    const FakeReplica& evacuated = fixture.AddReplicaIn("b", "s", RespondWith(200, "", "s2"));
+    fixture.Publish(SingleServiceRoute(true));
+    fixture.EventLoop().AddTimer(SteadyNow() + milliseconds(20),
+                                 [&] { fixture.TestedRelay().SetEvacuated({ "b" }); });
+    CPPUNIT_ASSERT_EQUAL(504, fixture.Get("/").mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), silent.mReceived.size());
+    CPPUNIT_ASSERT(evacuated.mReceived.empty());
+  }
+
+  // The only replica is busy, and requests wait for its connections when the order arrives.
+  void EvacuatedReplicaGetsNoQueuedRequest()
+  {
+    std::vector<HttpResponder> pending;
+    RelayFixture fixture;
+    const FakeReplica& replica = fixture.AddReplicaIn("b", "s", NeverRespond(pending));
+    fixture.Publish(SingleServiceRoute(false), 2);
+    const TimePoint start = SteadyNow();
+    fixture.EventLoop().AddTimer(start + milliseconds(50),
+                                 [&] { fixture.TestedRelay().SetEvacuated({ "b" }); });
+    HttpClient client(fixture.EventLoop(), kGatewayIp, 10);
+    std::vector<std::pair<int, TimePoint>> answers;
+    for (int i = 0; i < 3; ++i) {
+      ClientRequest request;
+      request.mMethod = "GET";
+      request.mPath = "/";
+      request.mForwarded = true;
+      request.mAddress = { kGatewayIp, kGatewayPort };
+      request.mHeaders = { { "Host", "h" }, { "X-Id", "id-1" } };
+      client.Send(request, [&](const ClientReply& aReply) {
+        answers.emplace_back(aReply.mStatus, SteadyNow());
+        if (answers.size() == 3) {
+          fixture.EventLoop().Stop();
+        }
+      });
+    }
+    fixture.EventLoop().Run();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), replica.mReceived.size());
+    // The queued ones have not run and are refused at once, the one that was sent is not.
+    CPPUNIT_ASSERT_EQUAL(503, answers[0].first);
+    CPPUNIT_ASSERT_EQUAL(503, answers[1].first);
+    CPPUNIT_ASSERT(answers[1].second - start < milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(504, answers[2].first);
+  }
+
+  void EvacuatedReplicaGetsNoConnection()
+  {
+    RelayFixture fixture;
+    FakeReplica& evacuated = fixture.AddReplicaIn("b", "s", RespondWith(200, "", "s1"));
+    evacuated.mServer.reset();
+    const int listener = OpenListener(evacuated.mInfo.mAddress);
+    fixture.TestedRelay().SetEvacuated({ "b" });
+    fixture.Publish(SingleServiceRoute(true));
+    fixture.RunFor(milliseconds(1500));
+    CPPUNIT_ASSERT(accept4(listener, nullptr, nullptr, SOCK_NONBLOCK) < 0);
+    fixture.TestedRelay().SetEvacuated({});
+    fixture.RunFor(milliseconds(300));
+    const int connection = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+    CPPUNIT_ASSERT(connection >= 0);
+    close(connection);
+    close(listener);
+  }
+
+  // The connection of the first send opens only after the order: the queue of the listener is full
+  // until then. The request goes to the other replica and never arrives here.
+  void EvacuatedReplicaGetsNothingOnALateConnection()
+  {
+    RelayFixture fixture;
+    FakeReplica& evacuated = fixture.AddReplica("s", RespondWith(200, "", "s1"));
+    evacuated.mServer.reset();
+    SilentAddress address(evacuated.mInfo.mAddress, false);
+    const FakeReplica& other = fixture.AddReplicaIn("b", "s", RespondWith(200, "", "s2"));
+    fixture.Publish(SingleServiceRoute(false));
+    fixture.EventLoop().AddTimer(SteadyNow() + milliseconds(50),
+                                 [&] { fixture.TestedRelay().SetEvacuated({ "a" }); });
+    const TimePoint start = SteadyNow();
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    CPPUNIT_ASSERT(SteadyNow() - start < milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.mReceived.size());
+    // The kernel repeats the dropped handshake after one second.
+    address.AcceptAndRead();
+    fixture.RunFor(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), address.AcceptAndRead());
+  }
+
+  void ReplicaAnnouncedDuringEvacuationGetsNothing()
+  {
+    RelayFixture fixture;
+    fixture.TestedRelay().SetEvacuated({ "b" });
+    FakeReplica& later = fixture.AddReplicaIn("b", "s", RespondWith(200, "", "s1"));
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+    ++later.mInfo.mIncarnation;
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+    CPPUNIT_ASSERT(later.mReceived.empty());
+  }
+
+  void SendsBeforeTheEvacuationAreLeftToFinish()
+  {
+    RelayFixture fixture;
+    fixture.AddReplicaIn("b", "s", [&](const HttpRequest& aRequest, const HttpResponder& aRespond) {
+      fixture.TestedRelay().SetEvacuated({ "b" });
+      aRespond(SignedResponse(aRequest, 200, "done", "s1"));
+    });
+    fixture.Publish(SingleServiceRoute(false));
+    CPPUNIT_ASSERT_EQUAL(std::string("done"), fixture.Get("/").mBody);
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+  }
+
+  void ReplicaIsServedAgainAfterEvacuation()
+  {
+    RelayFixture fixture;
+    fixture.AddReplicaIn("b", "s", RespondWith(200, "", "s1"));
+    fixture.Publish(SingleServiceRoute(true));
+    fixture.TestedRelay().SetEvacuated({ "b" });
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+    fixture.TestedRelay().SetEvacuated({ "c" });
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+  }
+
+  // One gateway, so that the share is the whole limit of 0.75 times the rate.
+  void WarmingReplicaGetsNoMoreThanItsRate()
+  {
+    constexpr double kRate = 20;
+    RelayFixture fixture;
+    FakeReplica& warming = fixture.AddReplica("s", RespondWith(200, "", "s1"));
+    warming.mInfo.mWarmupUntil = SteadyNow() + seconds(60);
+    const FakeReplica& other = fixture.AddReplicaIn("b", "s", RespondWith(200, "", "s2"));
+    fixture.Publish(SingleServiceRoute(false), 100, kRate);
+    int sent = 0;
+    for (const TimePoint end = SteadyNow() + seconds(1); SteadyNow() < end; ++sent) {
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    }
+    CPPUNIT_ASSERT(sent > 100);
+    CPPUNIT_ASSERT(warming.mReceived.size() >= 5);
+    CPPUNIT_ASSERT(static_cast<double>(warming.mReceived.size()) <= kRate);
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(sent),
+                         warming.mReceived.size() + other.mReceived.size());
+    CPPUNIT_ASSERT(fixture.HasMetricLine("apricot_replicas_warming_up 1"));
+  }
+
+  void RateOfZeroLeavesWarmingReplicaUnlimited()
+  {
+    RelayFixture fixture;
+    FakeReplica& warming = fixture.AddReplica("s", RespondWith(200, "", "s1"));
+    warming.mInfo.mWarmupUntil = SteadyNow() + seconds(60);
+    fixture.Publish(SingleServiceRoute(false));
+    for (int i = 0; i < 50; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    }
+    CPPUNIT_ASSERT(fixture.HasMetricLine("apricot_replicas_warming_up 0"));
+    CPPUNIT_ASSERT(fixture.HasMetricLine("apricot_replicas_limited 0"));
+  }
+
+  // Nothing tells the gateway that the warm-up is over but its time.
+  void WarmupEndsInTime()
+  {
+    RelayFixture fixture;
+    FakeReplica& warming = fixture.AddReplica("s", RespondWith(200, "", "s1"));
+    warming.mInfo.mWarmupUntil = SteadyNow() + milliseconds(300);
+    fixture.Publish(SingleServiceRoute(false), 100, 1);
+    // No token is there at first, and the next one would come too late for the objective.
+    CPPUNIT_ASSERT_EQUAL(503, fixture.Get("/").mStatus);
+    fixture.RunFor(milliseconds(320));
+    for (int i = 0; i < 20; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    }
+  }
+
   void ServiceThatLeavesRefusesAtOnce()
   {
     RelayFixture fixture;
