Add apricot-check, which checks a routing document before it is submitted

Operators learned of errors only from the coordinator, without the path of the field, and of entries without effect not at all. Change: document_check finds contradictions and differences over decoded documents; CheckRouting and the decoder also name the field of an error; platform/check_main.cpp reads files, standard input or the version in force at a coordinator.

--- a/src/routing.cpp
+++ b/src/routing.cpp
@@ -1,6 +1,7 @@
 #include "routing.h"
 
 #include "caller_identity.h"
+#include "document_field.h"
 
 #include <algorithm>
 #include <set>
@@ -11,61 +12,62 @@
 
 namespace {
 
-std::string
-LowerHost(std::string_view aHost)
-{
-  std::string host(aHost.substr(0, aHost.find(':')));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aC) {
-    return static_cast<char>(std::tolower(aC));
-  });
-  return host;
-}
-
+// aField.mItem is the index of the route.
 Expected<void>
-CheckRoute(const Route& aRoute, const std::set<std::string>& aServices)
+CheckRoute(const Route& aRoute, const std::set<std::string>& aServices, FieldPath& aField)
 {
-  const auto invalid = [&aRoute](std::string_view aProblem) {
+  const auto invalid = [&aRoute, &aField](DocumentField aKind,
+                                          std::string_view aProblem,
+                                          std::optional<std::size_t> aPart = std::nullopt) {
+    aField.mField = aKind;
+    aField.mPart = aPart;
     return Fail(Result::InvalidDocument, fmt::format("route '{}': {}", aRoute.mName, aProblem));
   };
   const std::string& prefix = aRoute.mPathPrefix;
   if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
-    return invalid("the path prefix must begin and end with a slash");
+    return invalid(DocumentField::RoutePrefix, "the path prefix must begin and end with a slash");
   }
   if (aRoute.mTimeout <= Duration::zero()) {
-    return invalid("the timeout is 0");
+    return invalid(DocumentField::RouteTimeout, "the timeout is 0");
   }
   if (aRoute.mServices.empty()) {
-    return invalid("it names no service");
+    return invalid(DocumentField::RouteServices, "it names no service");
   }
   double weights = 0;
-  for (const WeightedService& service : aRoute.mServices) {
+  for (std::size_t part = 0; part < aRoute.mServices.size(); ++part) {
+    const WeightedService& service = aRoute.mServices[part];
     if (!aServices.contains(service.mService)) {
-      return invalid(fmt::format("unknown service '{}'", service.mService));
+      return invalid(
+        DocumentField::RouteServices, fmt::format("unknown service '{}'", service.mService), part);
     }
     if (service.mWeight < 0) {
-      return invalid("a weight is negative");
+      return invalid(DocumentField::RouteWeight, "a weight is negative", part);
     }
     weights += service.mWeight;
   }
   if (weights <= 0) {
-    return invalid("the weights add up to 0");
+    return invalid(DocumentField::RouteServices, "the weights add up to 0");
   }
   return {};
 }
 
 Expected<void>
-CheckWorkspaces(const std::vector<Workspace>& aWorkspaces)
+CheckWorkspaces(const std::vector<Workspace>& aWorkspaces, FieldPath& aField)
 {
   std::set<std::string> names;
   std::map<KeyDigest, std::string> owners;
-  for (const Workspace& workspace : aWorkspaces) {
+  for (std::size_t i = 0; i < aWorkspaces.size(); ++i) {
+    const Workspace& workspace = aWorkspaces[i];
     if (!names.insert(workspace.mName).second) {
+      aField = { DocumentField::WorkspaceName, i, std::nullopt };
       return Fail(Result::InvalidDocument,
                   fmt::format("two workspaces are named '{}'", workspace.mName));
     }
-    for (const KeyDigest& key : workspace.mKeys) {
+    for (std::size_t part = 0; part < workspace.mKeys.size(); ++part) {
+      const KeyDigest& key = workspace.mKeys[part];
       const auto [owner, inserted] = owners.emplace(key, workspace.mName);
       if (!inserted && owner->second != workspace.mName) {
+        aField = { DocumentField::WorkspaceKeys, i, part };
         return Fail(Result::InvalidDocument,
                     fmt::format("workspaces '{}' and '{}' share the key {}",
                                 owner->second,
@@ -79,25 +81,46 @@
 
 } // namespace
 
+std::string
+RouteHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aC) {
+    return static_cast<char>(std::tolower(aC));
+  });
+  return host;
+}
+
 Expected<void>
 CheckRouting(const RoutingDocument& aDocument)
+{
+  FieldPath ignored;
+  return CheckRouting(aDocument, ignored);
+}
+
+Expected<void>
+CheckRouting(const RoutingDocument& aDocument, FieldPath& aField)
 {
   std::set<std::string> services;
   for (const RoutedService& service : aDocument.mServices) {
     services.insert(service.mName);
   }
   std::set<std::pair<std::string, std::string>> prefixesByHost;
-  for (const Route& route : aDocument.mRoutes) {
-    if (auto checked = CheckRoute(route, services); !checked) {
+  for (std::size_t i = 0; i < aDocument.mRoutes.size(); ++i) {
+    const Route& route = aDocument.mRoutes[i];
+    FieldPath field{ DocumentField::Document, i, std::nullopt };
+    if (auto checked = CheckRoute(route, services, field); !checked) {
+      aField = field;
       return checked;
     }
-    if (!prefixesByHost.emplace(LowerHost(route.mHost), route.mPathPrefix).second) {
+    if (!prefixesByHost.emplace(RouteHost(route.mHost), route.mPathPrefix).second) {
+      aField = { DocumentField::RoutePrefix, i, std::nullopt };
       return Fail(
         Result::InvalidDocument,
         fmt::format("two routes share host '{}' and prefix '{}'", route.mHost, route.mPathPrefix));
     }
   }
-  return CheckWorkspaces(aDocument.mWorkspaces);
+  return CheckWorkspaces(aDocument.mWorkspaces, aField);
 }
 
 RoutingTable::RoutingTable(RoutingDocument aDocument)
@@ -105,7 +128,7 @@
 {
   for (std::size_t i = 0; i < mDocument.mRoutes.size(); ++i) {
     const Route& route = mDocument.mRoutes[i];
-    mRoutesByHost[LowerHost(route.mHost)].emplace(route.mPathPrefix, i);
+    mRoutesByHost[RouteHost(route.mHost)].emplace(route.mPathPrefix, i);
   }
   for (std::size_t i = 0; i < mDocument.mServices.size(); ++i) {
     mServicesByName.emplace(mDocument.mServices[i].mName, i);
@@ -120,7 +143,7 @@
 const Route*
 RoutingTable::Find(std::string_view aHost, std::string_view aPath) const
 {
-  const auto host = mRoutesByHost.find(LowerHost(aHost));
+  const auto host = mRoutesByHost.find(RouteHost(aHost));
   if (host == mRoutesByHost.end()) {
     return nullptr;
   }
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -1,6 +1,10 @@
 // Guards against heartbeats, documents and calls of the platform that are decoded wrongly.
+#include "caller_identity.h"
+#include "check_text.h"
+#include "property.h"
 #include "wire.h"
 
+#include <functional>
 #include <limits>
 
 #include <cppunit/TestFixture.h>
@@ -50,6 +54,52 @@
     "idle_timeout_ms":15000}})");
 }
 
+// The text of a document in which some values are missing, of another type or out of range, and
+// some names, hosts, prefixes and keys are equal.
+rc::Gen<std::string>
+RandomDocumentText()
+{
+  return rc::gen::exec([] {
+    Json document = MakeDocument();
+    document["tenants"] = { { { "name", "a" }, { "api_keys", { "k1", "k2" } } },
+                            { { "name", "b" },
+                              { "api_keys", { "k3" } },
+                              { "rate_per_s", 5 },
+                              { "burst_size", 2 },
+                              { "priority", 1 } } };
+    const std::vector<Json> values = {
+      -1,           0,        1,         2.5,  1e300, "",     "s",    "t",           "/o/",
+      "/",          "h",      "a",       "k1", true,  Json(), "H:80", Json::array(), Json::object(),
+      { "s", "t" }, { "k1" }, { "none" }
+    };
+    const int changes = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < changes; ++i) {
+      // All paths to values of the document.
+      std::vector<std::string> paths;
+      const Json flat = document.flatten();
+      for (const auto& [path, value] : flat.items()) {
+        paths.push_back(path);
+        paths.push_back(path.substr(0, path.rfind('/')));
+      }
+      const Json::json_pointer place(*rc::gen::elementOf(paths));
+      if (place.empty() || !document.contains(place)) {
+        continue;
+      }
+      if (*rc::gen::inRange(0, 4) == 0) {
+        Json& parent = document[place.parent_pointer()];
+        if (parent.is_object()) {
+          parent.erase(place.back());
+        }
+      } else {
+        document[place] = *rc::gen::elementOf(values);
+      }
+    }
+    std::string text = document.dump();
+    const bool cut = *rc::gen::inRange(0, 20) == 0;
+    return cut ? text.substr(0, text.size() / 2) : text;
+  });
+}
+
 } // namespace
 
 class PlatformWireTest : public CppUnit::TestFixture
@@ -67,6 +117,10 @@
   CPPUNIT_TEST(DecodesEvacuations);
   CPPUNIT_TEST(DecodesDocument);
   CPPUNIT_TEST(RejectsMalformedDocuments);
+  CPPUNIT_TEST(CheckNamesTheFieldOfAnError);
+  CPPUNIT_TEST(CheckNamesTheFieldOfAWarning);
+  CPPUNIT_TEST(CheckAgreesWithCoordinators);
+  CPPUNIT_TEST(CheckPrintsNoKeys);
   CPPUNIT_TEST(LimitsNumberOfGateways);
   CPPUNIT_TEST(DecodesRequestLimit);
   CPPUNIT_TEST(DecodesLeavingAndRetryAfter);
@@ -310,6 +364,113 @@
     CPPUNIT_ASSERT(!CheckRouting(*DecodeDocument(withoutTimeout.dump())).has_value());
   }
 
+  void CheckNamesTheFieldOfAnError()
+  {
+    const auto pathOf = [](const std::function<void(Json&)>& aChange) {
+      Json document = MakeDocument();
+      aChange(document);
+      const CheckedDocument checked = CheckText(document.dump());
+      CPPUNIT_ASSERT(!checked.mDocument && checked.mFindings.size() == 1);
+      CPPUNIT_ASSERT(checked.mFindings[0].second.mSeverity == Severity::Error);
+      return checked.mFindings[0].first;
+    };
+    const std::vector<std::pair<std::string, std::function<void(Json&)>>> mistakes = {
+      { "version", [](Json& aDoc) { aDoc["version"] = "x"; } },
+      { "routes", [](Json& aDoc) { aDoc["routes"] = 1; } },
+      { "services", [](Json& aDoc) { aDoc.erase("services"); } },
+      { "routes[1]", [](Json& aDoc) { aDoc["routes"][1] = 1; } },
+      { "routes[1].timeout_ms", [](Json& aDoc) { aDoc["routes"][1]["timeout_ms"] = 0; } },
+      { "routes[1].timeout_ms", [](Json& aDoc) { aDoc["routes"][1].erase("timeout_ms"); } },
+      { "routes[1].service", [](Json& aDoc) { aDoc["routes"][1]["service"] = "none"; } },
+      { "routes[0].gather[1]", [](Json& aDoc) { aDoc["routes"][0]["gather"][1] = "none"; } },
+      { "routes[2].traffic_split[1].weight",
+        [](Json& aDoc) { aDoc["routes"][2]["traffic_split"][1]["weight"] = -1; } },
+      { "routes[2].path_prefix", [](Json& aDoc) { aDoc["routes"][2]["path_prefix"] = "/o/"; } },
+      { "services[1].max_connections",
+        [](Json& aDoc) { aDoc["services"][1]["max_connections"] = -1; } },
+      { "tenants", [](Json& aDoc) { aDoc["tenants"] = 1; } },
+      { "tenants[1].name",
+        [](Json& aDoc) {
+          aDoc["tenants"] = { { { "name", "a" }, { "api_keys", Json::array() } },
+                              { { "name", "a" }, { "api_keys", Json::array() } } };
+        } },
+      { "tenants[1].api_keys[0]",
+        [](Json& aDoc) {
+          aDoc["tenants"] = { { { "name", "a" }, { "api_keys", { "k1", "k2" } } },
+                              { { "name", "b" }, { "api_keys", { "k2" } } } };
+        } },
+      { "limits.max_body_bytes", [](Json& aDoc) { aDoc["limits"]["max_body_bytes"] = -1; } },
+    };
+    for (const auto& [path, change] : mistakes) {
+      CPPUNIT_ASSERT_EQUAL(path, pathOf(change));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), CheckText("{").mFindings.at(0).first);
+  }
+
+  void CheckNamesTheFieldOfAWarning()
+  {
+    Json document = MakeDocument();
+    document["routes"][2]["traffic_split"][1]["weight"] = 0;
+    document["tenants"] = { { { "name", "a" }, { "api_keys", { "k", "k" } } } };
+    const CheckedDocument checked = CheckText(document.dump());
+    CPPUNIT_ASSERT(checked.mDocument.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), checked.mFindings.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("routes[2].traffic_split[1].weight"),
+                         checked.mFindings[0].first);
+    CPPUNIT_ASSERT_EQUAL(std::string("tenants[0].api_keys[1]"), checked.mFindings[1].first);
+  }
+
+  // The steps of a coordinator are those of Coordinator::HandleOfferDocument.
+  void CheckAgreesWithCoordinators()
+  {
+    CheckProperty("the check finds an error in just the documents that coordinators refuse", [] {
+      const std::string text = *RandomDocumentText();
+      const auto document = MakePlatformProtocol().mDecodeDocument(text);
+      const Expected<void> taken =
+        document ? CheckRouting(*document) : tl::unexpected(document.error());
+      const CheckedDocument checked = CheckText(text);
+      RC_CLASSIFY(taken.has_value(), "valid");
+      RC_ASSERT(checked.mDocument.has_value() == taken.has_value());
+      std::vector<std::string> errors;
+      for (const auto& [path, finding] : checked.mFindings) {
+        if (finding.mSeverity == Severity::Error) {
+          errors.push_back(finding.mText);
+        }
+      }
+      RC_ASSERT(errors ==
+                (taken ? std::vector<std::string>() : std::vector{ taken.error().mMessage }));
+    });
+  }
+
+  void CheckPrintsNoKeys()
+  {
+    Json document = MakeDocument();
+    document["tenants"] = { { { "name", "a" }, { "api_keys", { "secret", "secret" } } },
+                            { { "name", "b" }, { "api_keys", { "other" } } } };
+    const auto inForce = CheckText(document.dump());
+    document["tenants"][1]["api_keys"] = { "secret" };
+    const auto shared = CheckText(document.dump());
+    document["tenants"][1]["api_keys"] = { "another" };
+    const auto changed = CheckText(document.dump());
+    CPPUNIT_ASSERT(inForce.mDocument && changed.mDocument && !shared.mDocument);
+    std::string texts;
+    for (const CheckedDocument* const checked : { &inForce, &shared, &changed }) {
+      for (const auto& [path, finding] : checked->mFindings) {
+        texts += path + finding.mText;
+      }
+    }
+    for (const ItemChange& change :
+         CompareDocuments(*inForce.mDocument, *changed.mDocument).mChanges) {
+      for (const FieldChange& field : change.mFields) {
+        texts += field.mBefore + field.mAfter;
+      }
+    }
+    for (const std::string key : { "secret", "other", "another" }) {
+      CPPUNIT_ASSERT(texts.find(key) == std::string::npos);
+      CPPUNIT_ASSERT(texts.find(KeyFingerprint(DigestKey(key))) != std::string::npos);
+    }
+  }
+
   void LimitsNumberOfGateways()
   {
     const std::vector<SocketAddress> gateways(100, { "10.0.0.1", 80 });
