--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -335,6 +335,7 @@
       // filled no bucket.
       bucket.mLevel -= std::min(checked.mUsedAlone, 1U);
     }
+    LimitLevel(bucket, limit->second);
     holder.mIncarnation = aCall.mIncarnation;
     holder.mHeardAt = aNow;
     QuotaGrant grant = Grant(bucket, limit->second, holder, checked, aNow);
--- a/src/relay_passing.cpp
+++ b/src/relay_passing.cpp
@@ -132,8 +132,6 @@
   if (MayHaveRun(relayed) && !relayed.mRoute->mRepeatable) {
     return;
   }
-  // The other gateway takes a token itself.
-  ReturnUnusedToken(relayed);
   for (RelaySubrequest& subrequest : relayed.mSubrequests) {
     const std::set<AttemptId> activeAttempts = subrequest.mActiveAttempts;
     for (const AttemptId attemptId : activeAttempts) {
@@ -159,6 +157,8 @@
   std::uniform_int_distribution<std::size_t> draw(0, untried.size() - 1);
   const SocketAddress peer = untried[draw(mRng)];
   relayed.mTriedPeers.push_back(peer);
+  // The other gateway takes a token itself.
+  ReturnUnusedToken(relayed);
   relayed.mPeerTransfer =
     mClient.Send(MakePeerRequest(relayed, peer), [this, aRelayed](ClientReply aReply) {
       OnPeerReply(aRelayed, std::move(aReply));
