--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -70,8 +70,8 @@
 constexpr Duration kAcceptCheckInterval = std::chrono::milliseconds(50);
 // Shorter than the time after which gateways give up a call.
 constexpr Duration kQuotaForwardTimeout = std::chrono::milliseconds(250);
-// A gateway that was not heard by this coordinator for this time holds no share of an owner, unless it is
-// cut off from this coordinator alone.
+// A gateway that was not heard by this coordinator for this time holds no share of an owner, unless
+// it is cut off from this coordinator alone.
 constexpr Duration kMaxShareSilence = std::chrono::seconds(15);
 // Sent in the Retry-After header of errors that are likely to be temporary.
 constexpr const char* kRetryAfterSeconds = "0.5";
@@ -229,12 +229,13 @@
   QuotaChannels mQuotaChannels;
   Counter& mQuotaCalls = mMetrics.AddCounter("apricot_quota_owner_calls_total",
                                              "Calls of gateways for tokens, served by this host.");
-  Counter& mQuotaForwards = mMetrics.AddCounter(
-    "apricot_quota_forwards_total", "Calls of gateways for tokens, forwarded to the leader.");
+  Counter& mQuotaForwards =
+    mMetrics.AddCounter("apricot_quota_forwards_total",
+                        "Calls of gateways for tokens, forwarded to the leader.");
   Counter& mQuotaGranted =
     mMetrics.AddCounter("apricot_quota_granted_total", "Tokens granted by this host.");
-  Counter& mQuotaDenied = mMetrics.AddCounter("apricot_quota_denied_total",
-                                              "Requests that got no token of this host.");
+  Counter& mQuotaDenied =
+    mMetrics.AddCounter("apricot_quota_denied_total", "Requests that got no token of this host.");
 };
 
 Expected<void>
--- a/src/quota_client.cpp
+++ b/src/quota_client.cpp
@@ -199,8 +199,9 @@
         const bool tookDetour = called == mDetour && at != order.end();
         const std::size_t next =
           tookDetour ? static_cast<std::size_t>(at - order.begin() + 1) % order.size() : 0;
-        mDetour = order.empty() ? "" : order[next] == called ? order[(next + 1) % order.size()]
-                                                             : order[next];
+        mDetour = order.empty()           ? ""
+                  : order[next] == called ? order[(next + 1) % order.size()]
+                                          : order[next];
         mDetourUntil = SteadyNow() + kDetourTime;
       }
       handler(std::move(aReply));
--- a/src/quota_client.h
+++ b/src/quota_client.h
@@ -18,8 +18,8 @@
 class QuotaChannels
 {
 public:
-  // Runs at most once for each call, on the loop's thread, without a value if the call failed. It does
-  // not run if the loop's queue is full, so callers need a timer.
+  // Runs at most once for each call, on the loop's thread, without a value if the call failed. It
+  // does not run if the loop's queue is full, so callers need a timer.
   using ReplyHandler = std::function<void(std::optional<rpc::QuotaReply>)>;
 
   // Precondition: aLoop outlives this object. aRpcPort is the port of Fleet on all coordinators.
@@ -54,9 +54,7 @@
   void AddCoordinator(const std::string& aIp, const std::string& aDataCentre);
   // Sets the leader that a coordinator named. Does nothing if aIp is empty.
   void SetLeader(const std::string& aIp);
-  void Call(rpc::QuotaRequest aRequest,
-            Duration aTimeout,
-            QuotaChannels::ReplyHandler aHandler);
+  void Call(rpc::QuotaRequest aRequest, Duration aTimeout, QuotaChannels::ReplyHandler aHandler);
 
 private:
   std::string ChooseCoordinator(TimePoint aNow);
--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -21,8 +21,8 @@
 constexpr double kExtraCapacitySeconds = 0.1;
 // Seconds of the rate that, with the burst, limit the debt of a bucket after a lowered limit.
 constexpr double kDebtSeconds = 1.0;
-// Replies of the previous owner may give shares for kQuotaCallTimeout after the start of a new one, and
-// gateways update their reports every 250 ms.
+// Replies of the previous owner may give shares for kQuotaCallTimeout after the start of a new one,
+// and gateways update their reports every 250 ms.
 constexpr Duration kLateReplyTime = std::chrono::milliseconds(600);
 // Gateways that hold a reserve of one request, over all gateways. Shares below 1 per second would
 // serve nobody in a short outage.
@@ -75,8 +75,7 @@
 LimitLevel(QuotaBucket& aBucket, const QuotaLimit& aLimit)
 {
   const double capacity = Capacity(aLimit);
-  aBucket.mLevel =
-    std::clamp(aBucket.mLevel, -(kDebtSeconds * aLimit.mRate + capacity), capacity);
+  aBucket.mLevel = std::clamp(aBucket.mLevel, -(kDebtSeconds * aLimit.mRate + capacity), capacity);
 }
 
 // Ends the shares of gateways that have been silent for the window, and what was charged since.
@@ -163,8 +162,7 @@
 double
 GrantExtras(QuotaBucket& aBucket, const QuotaLimit& aLimit, TimePoint aNow)
 {
-  const auto interval =
-    static_cast<std::uint64_t>(aNow.time_since_epoch() / kExtraInterval);
+  const auto interval = static_cast<std::uint64_t>(aNow.time_since_epoch() / kExtraInterval);
   if (interval != aBucket.mExtraInterval) {
     aBucket.mPreviousExtras = interval == aBucket.mExtraInterval + 1 ? aBucket.mExtras : 0;
     aBucket.mExtras = 0;
@@ -172,11 +170,9 @@
   }
   const double fill = (aBucket.mLevel - 1) / Capacity(aLimit);
   const double extras = fill >= kTwoExtrasFill ? 2 : fill >= kOneExtraFill ? 1 : 0;
-  const double allowed =
-    kExtraRatio * (aLimit.mRate * Seconds(kQuotaWindow) + aLimit.mBurst) + kFixedExtras -
-    aBucket.mExtras - aBucket.mPreviousExtras;
-  const double granted =
-    std::floor(std::clamp(std::min(allowed, aBucket.mLevel), 0.0, extras));
+  const double allowed = kExtraRatio * (aLimit.mRate * Seconds(kQuotaWindow) + aLimit.mBurst) +
+                         kFixedExtras - aBucket.mExtras - aBucket.mPreviousExtras;
+  const double granted = std::floor(std::clamp(std::min(allowed, aBucket.mLevel), 0.0, extras));
   aBucket.mExtras += granted;
   return granted;
 }
@@ -189,8 +185,7 @@
   const Duration slot = FromSeconds(1 / aLimit.mRate);
   TimePoint first = std::max(aNow + next, aBucket.mPromisedAt + slot);
   first = std::min(first, aNow + std::max(next, kMaxPromise));
-  aBucket.mPromisedAt =
-    std::min(first + slot * (aRefused - 1), aNow + std::max(next, kMaxPromise));
+  aBucket.mPromisedAt = std::min(first + slot * (aRefused - 1), aNow + std::max(next, kMaxPromise));
   return first - aNow;
 }
 
@@ -204,8 +199,8 @@
   QuotaGrant grant;
   grant.mWorkspace = aDemand.mWorkspace;
   const std::uint32_t wanted = std::min(aDemand.mWanted, kMaxTokens);
-  grant.mGranted =
-    static_cast<std::uint32_t>(std::clamp(std::floor(aBucket.mLevel), 0.0, static_cast<double>(wanted)));
+  grant.mGranted = static_cast<std::uint32_t>(
+    std::clamp(std::floor(aBucket.mLevel), 0.0, static_cast<double>(wanted)));
   aBucket.mLevel -= grant.mGranted;
   if (grant.mGranted < wanted) {
     grant.mWait = PromiseSlots(aBucket, aLimit, wanted - grant.mGranted, aNow);
@@ -304,14 +299,14 @@
   for (const QuotaDemand& demand : aCall.mDemands) {
     const auto limit = aLedger.mLimits.find(demand.mWorkspace);
     if (limit == aLedger.mLimits.end() || limit->second.mRate <= 0) {
-      reply.mGrants.push_back({ demand.mWorkspace, std::min(demand.mWanted, kMaxTokens), {}, 0, 0 });
+      reply.mGrants.push_back(
+        { demand.mWorkspace, std::min(demand.mWanted, kMaxTokens), {}, 0, 0 });
       continue;
     }
     auto found = aLedger.mBuckets.find(demand.mWorkspace);
     if (found == aLedger.mBuckets.end()) {
-      found = aLedger.mBuckets
-                .emplace(demand.mWorkspace, StartBucket(aLedger, limit->second))
-                .first;
+      found =
+        aLedger.mBuckets.emplace(demand.mWorkspace, StartBucket(aLedger, limit->second)).first;
     }
     QuotaBucket& bucket = found->second;
     Advance(bucket, limit->second, aLedger.mUnknownUntil, aNow);
@@ -342,8 +337,7 @@
     LimitLevel(bucket, limit->second);
     // All shares together are at most the rate. The gateway may not receive the new one, so the
     // larger one is charged.
-    const double free =
-      std::max(0.0, limit->second.mRate - bucket.mShares - bucket.mUnknownShare);
+    const double free = std::max(0.0, limit->second.mRate - bucket.mShares - bucket.mUnknownShare);
     const double share = holder.mRecent / Seconds(kQuotaWindow);
     grant.mShare = share >= kMinShare ? std::min(share, free) : 0;
     if (holder.mReserve == 0 && share >= kMinShare && bucket.mReserves < kMaxReserves) {
--- a/src/quota_ledger.h
+++ b/src/quota_ledger.h
@@ -19,7 +19,8 @@
 // Window for which the number of a workspace's requests is limited. A share lapses after the same
 // time without a call.
 inline constexpr Duration kQuotaWindow = std::chrono::seconds(5);
-// Most tokens in the bucket of a new owner, because the previous one may have granted a whole burst.
+// Most tokens in the bucket of a new owner, because the previous one may have granted a whole
+// burst.
 inline constexpr double kFirstTokens = 8;
 
 // Limit of a workspace over all gateways. A rate of 0 means no limit.
@@ -142,8 +143,9 @@
                absl::flat_hash_map<std::string, QuotaLimit> aLimits,
                TimePoint aNow);
 
-// Serves a call of a gateway. Returns nothing for one that was overtaken by a later call of the same
-// process or of a later process. Numbers in the call that cannot be right are limited or ignored.
+// Serves a call of a gateway. Returns nothing for one that was overtaken by a later call of the
+// same process or of a later process. Numbers in the call that cannot be right are limited or
+// ignored.
 std::optional<QuotaReply>
 AcquireQuota(QuotaLedger& aLedger, const QuotaCall& aCall, TimePoint aNow);
 
--- a/src/quota_messages.cpp
+++ b/src/quota_messages.cpp
@@ -48,8 +48,8 @@
     rpc::QuotaGrant& added = *aMessage.add_grants();
     added.set_workspace(grant.mWorkspace);
     added.set_granted(grant.mGranted);
-    added.set_wait_ms(
-      static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(grant.mWait).count()));
+    added.set_wait_ms(static_cast<std::uint32_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(grant.mWait).count()));
     added.set_share(grant.mShare);
     added.set_reserve(grant.mReserve);
   }
--- a/src/quota_share.cpp
+++ b/src/quota_share.cpp
@@ -113,10 +113,7 @@
 }
 
 QuotaOutcome
-ApplyGrant(QuotaShare& aShare,
-           const QuotaDemand& aDemand,
-           const QuotaGrant& aGrant,
-           TimePoint aNow)
+ApplyGrant(QuotaShare& aShare, const QuotaDemand& aDemand, const QuotaGrant& aGrant, TimePoint aNow)
 {
   WorkspaceQuota& quota = aShare.mWorkspaces[aDemand.mWorkspace];
   quota.mUsedAlone -= std::min(quota.mUsedAlone, aDemand.mUsedAlone);
@@ -132,9 +129,10 @@
   outcome.mGranted = std::min(aGrant.mGranted, aDemand.mWanted);
   outcome.mDenied = aDemand.mWanted - outcome.mGranted;
   outcome.mWait = aGrant.mWait;
-  outcome.mSlot = quota.mRate > 0 ? std::chrono::duration_cast<Duration>(
-                                      std::chrono::duration<double>(1 / quota.mRate))
-                                  : Duration::zero();
+  outcome.mSlot =
+    quota.mRate > 0
+      ? std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / quota.mRate))
+      : Duration::zero();
   if (aGrant.mGranted > aDemand.mWanted) {
     HoldTokens(quota, aGrant.mGranted - aDemand.mWanted, aShare.mCalledAt);
   }
@@ -244,8 +242,7 @@
     }
     absl::erase_if(aShare.mWorkspaces,
                    [&](const auto& aEntry) { return IsIdle(aEntry.second, aNow); });
-    aShare.mRenewalAt =
-      aShare.mWorkspaces.empty() ? TimePoint::max() : aNow + kQuotaRenewal;
+    aShare.mRenewalAt = aShare.mWorkspaces.empty() ? TimePoint::max() : aNow + kQuotaRenewal;
   }
   if (call.mDemands.empty()) {
     return call;
--- a/src/quota_share.h
+++ b/src/quota_share.h
@@ -123,12 +123,13 @@
 std::uint64_t
 OldestShareTerm(const QuotaShare& aShare, TimePoint aNow);
 
-// When the next call is due: TimePoint::max() if there is nothing to call for, or while one is open.
+// When the next call is due: TimePoint::max() if there is nothing to call for, or while one is
+// open.
 TimePoint
 NextCallAt(const QuotaShare& aShare, TimePoint aNow);
 
-// Returns the next call, without demands if there is nothing to call for. It is open then only if it
-// has demands. Precondition: no call is open.
+// Returns the next call, without demands if there is nothing to call for. It is open then only if
+// it has demands. Precondition: no call is open.
 QuotaCall
 BeginCall(QuotaShare& aShare, TimePoint aNow);
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,5 +1,5 @@
-#include "relay_state.h"
 #include "forwarding.h"
+#include "relay_state.h"
 #include "settings.h"
 
 #include <charconv>
--- a/src/relay_quota.cpp
+++ b/src/relay_quota.cpp
@@ -30,8 +30,9 @@
 QuotaMetrics::QuotaMetrics(MetricsRegistry& aRegistry)
   : mGranted(
       aRegistry.AddCounter("apricot_quota_requests_total", kDecisionsHelp, R"(decision="granted")"))
-  , mAlone(
-      aRegistry.AddCounter("apricot_quota_requests_total", kDecisionsHelp, R"(decision="fallback")"))
+  , mAlone(aRegistry.AddCounter("apricot_quota_requests_total",
+                                kDecisionsHelp,
+                                R"(decision="fallback")"))
   , mDenied(
       aRegistry.AddCounter("apricot_quota_requests_total", kDecisionsHelp, R"(decision="denied")"))
   , mUnavailable(aRegistry.AddCounter("apricot_quota_requests_total",
@@ -138,8 +139,8 @@
   }
   mQuota.mMetrics.mCalls.Add();
   mLoop.CancelTimer(mQuota.mTimeoutTimer);
-  mQuota.mTimeoutTimer = mLoop.AddTimer(
-    now + kQuotaCallTimeout + kCallTimeoutMargin, [this, number = call.mNumber] {
+  mQuota.mTimeoutTimer =
+    mLoop.AddTimer(now + kQuotaCallTimeout + kCallTimeoutMargin, [this, number = call.mNumber] {
       mQuota.mTimeoutTimer = 0;
       OnQuotaReply(number, std::nullopt);
     });
@@ -295,8 +296,8 @@
 void
 Relay::State::ReturnUnusedToken(RelayedRequest& aRelayed)
 {
-  const bool granted = aRelayed.mQuotaState == QuotaState::Granted ||
-                       aRelayed.mQuotaState == QuotaState::GrantedAlone;
+  const bool granted =
+    aRelayed.mQuotaState == QuotaState::Granted || aRelayed.mQuotaState == QuotaState::GrantedAlone;
   if (granted && !MayHaveRun(aRelayed)) {
     ReturnToken(mQuota.mShare,
                 aRelayed.mQuotaWorkspace,
--- a/tests/process_protocol.cpp
+++ b/tests/process_protocol.cpp
@@ -1,5 +1,6 @@
 #include "process_protocol.h"
 
+#include "caller_identity.h"
 #include "settings.h"
 
 #include <cstdlib>
@@ -11,6 +12,7 @@
 
 constexpr std::uint32_t kMaxConnections = 100;
 constexpr std::uint32_t kSlots = 4;
+constexpr std::string_view kWorkspacePrefix = "workspace=";
 
 std::uint64_t
 NumberArgument(const HttpRequest& aRequest, std::string_view aName, std::uint64_t aDefault)
@@ -48,6 +50,24 @@
   return call;
 }
 
+// Decodes NAME:KEY:RATE:BURST.
+Workspace
+DecodeWorkspace(const std::string& aText)
+{
+  std::istringstream parts(aText);
+  Workspace workspace;
+  std::string key;
+  std::string number;
+  std::getline(parts, workspace.mName, ':');
+  std::getline(parts, key, ':');
+  workspace.mKeys = { DigestKey(key) };
+  std::getline(parts, number, ':');
+  workspace.mRate = std::strtod(number.c_str(), nullptr);
+  std::getline(parts, number, ':');
+  workspace.mBurst = std::strtod(number.c_str(), nullptr);
+  return workspace;
+}
+
 Expected<RoutingDocument>
 DecodeDocumentText(std::string_view aText)
 {
@@ -66,6 +86,10 @@
   route.mTopRecords = 1;
   route.mMinCoverage = 0.5;
   for (std::string service; words >> service;) {
+    if (service.starts_with(kWorkspacePrefix)) {
+      document.mWorkspaces.push_back(DecodeWorkspace(service.substr(kWorkspacePrefix.size())));
+      continue;
+    }
     route.mServices.push_back({ service, 1 });
     document.mServices.push_back({ service, kMaxConnections });
   }
@@ -88,6 +112,7 @@
 {
   PlatformProtocol protocol;
   protocol.mHeaders = TestHeaderNames();
+  protocol.mDecodeKey = [](const HttpRequest& aRequest) { return aRequest.Header("x-key"); };
   protocol.mDecodeCall = DecodeCall;
   protocol.mDecodeDocument = DecodeDocumentText;
   protocol.mEncodeGateways = [](const std::vector<SocketAddress>&, std::chrono::milliseconds) {
--- a/tests/quota_model.cpp
+++ b/tests/quota_model.cpp
@@ -9,8 +9,8 @@
 const std::string kWorkspace = "w";
 // Pause between two calls of a gateway to a coordinator of another data centre.
 constexpr Duration kSyncPause = std::chrono::milliseconds(1000);
-// A new owner fills no bucket until all gateways have reported that they hold no share of an earlier
-// one. What it owes is counted from this time on.
+// A new owner fills no bucket until all gateways have reported that they hold no share of an
+// earlier one. What it owes is counted from this time on.
 constexpr Duration kOwnerStartTime = std::chrono::milliseconds(1700);
 // After this time a request that did not run returns its token.
 constexpr Duration kNotRunTime = std::chrono::milliseconds(20);
@@ -46,9 +46,8 @@
 Duration
 QuotaModel::Delay()
 {
-  return mSettings.mMinDelay +
-         std::chrono::duration_cast<Duration>((mSettings.mMaxDelay - mSettings.mMinDelay) *
-                                              Random());
+  return mSettings.mMinDelay + std::chrono::duration_cast<Duration>(
+                                 (mSettings.mMaxDelay - mSettings.mMinDelay) * Random());
 }
 
 void
@@ -182,8 +181,7 @@
   At(mNow + kSyncPause, [this, aGateway] { Synchronize(aGateway); });
   if (mOwner && !IsCutOff(aGateway)) {
     Gateway& gateway = mGateways[aGateway];
-    ReportShareTerm(
-      *mOwner, gateway.mShare.mGateway, OldestShareTerm(gateway.mShare, mNow), mNow);
+    ReportShareTerm(*mOwner, gateway.mShare.mGateway, OldestShareTerm(gateway.mShare, mNow), mNow);
     EndUnknownShares(*mOwner, mNames, mNow);
   }
 }
@@ -275,9 +273,9 @@
     if (arrival < filledAt) {
       continue;
     }
-    level = std::min(aLimit.mBurst,
-                     level + aLimit.mRate *
-                               std::chrono::duration<double>(arrival - filledAt).count());
+    level =
+      std::min(aLimit.mBurst,
+               level + aLimit.mRate * std::chrono::duration<double>(arrival - filledAt).count());
     filledAt = arrival;
     if (level >= 1) {
       level -= 1;
@@ -294,8 +292,7 @@
                 TimePoint aUntil)
 {
   const double bound =
-    (aLimit.mRate * std::chrono::duration<double>(kQuotaWindow).count() + aLimit.mBurst) * 1.1 +
-    20;
+    (aLimit.mRate * std::chrono::duration<double>(kQuotaWindow).count() + aLimit.mBurst) * 1.1 + 20;
   double most = 0;
   auto end = aPassed.begin();
   for (auto first = aPassed.begin(); first != aPassed.end(); ++first) {
--- a/tests/quota_model.h
+++ b/tests/quota_model.h
@@ -56,8 +56,8 @@
   std::size_t PassedOf(Duration aFrom, Duration aUntil) const;
   std::size_t Refused() const { return mRefused; }
   std::size_t Calls() const { return mCalls; }
-  // What a bucket with this limit would let through of the arrivals between the times. It starts empty
-  // when the first owner is certain that gateways hold no shares of an earlier one.
+  // What a bucket with this limit would let through of the arrivals between the times. It starts
+  // empty when the first owner is certain that gateways hold no shares of an earlier one.
   std::size_t Owed(const QuotaLimit& aLimit, Duration aFrom, Duration aUntil) const;
 
 private:
--- a/tests/test_quota_ledger.cpp
+++ b/tests/test_quota_ledger.cpp
@@ -148,7 +148,8 @@
     for (const auto& [limit, expected] :
          { std::pair{ QuotaLimit{ 100, 500 }, 8U }, std::pair{ QuotaLimit{ 2, 10 }, 2U } }) {
       QuotaLedger ledger = MakeLedger(limit);
-      CPPUNIT_ASSERT_EQUAL(expected, AcquireQuota(ledger, MakeCall(1, 100), kStart)->mGrants[0].mGranted);
+      CPPUNIT_ASSERT_EQUAL(expected,
+                           AcquireQuota(ledger, MakeCall(1, 100), kStart)->mGrants[0].mGranted);
       // Gateways may still use shares of the previous owner.
       CPPUNIT_ASSERT_EQUAL(
         0U, AcquireQuota(ledger, MakeCall(2, 100), kStart + seconds(1))->mGrants[0].mGranted);
@@ -188,8 +189,8 @@
         QuotaDemand& demand = call.mDemands.front();
         demand.mReturned = *rc::gen::arbitrary<std::uint32_t>();
         demand.mUsedAlone = *rc::gen::arbitrary<std::uint32_t>();
-        demand.mShare = *rc::gen::element(
-          0.0, -5.0, 3.0, 1e300, std::numeric_limits<double>::quiet_NaN());
+        demand.mShare =
+          *rc::gen::element(0.0, -5.0, 3.0, 1e300, std::numeric_limits<double>::quiet_NaN());
         const auto reply = AcquireQuota(ledger, call, now);
         RC_ASSERT(reply.has_value());
         const QuotaGrant& grant = reply->mGrants.front();
--- a/tests/test_quota_model.cpp
+++ b/tests/test_quota_model.cpp
@@ -146,12 +146,10 @@
         ExcessOverBound(model.Passed(), settings.mLimit, kModelStart, TimePoint::max());
       const double after = ExcessOverBound(
         model.Passed(), lowered, kModelStart + kChange + kSpread + kQuotaWindow, TimePoint::max());
-      CPPUNIT_ASSERT_MESSAGE(fmt::format("{}, factor {}: {} and {} above the bounds",
-                                         Describe(settings),
-                                         factor,
-                                         before,
-                                         after),
-                             before <= 0 && after <= 0);
+      CPPUNIT_ASSERT_MESSAGE(
+        fmt::format(
+          "{}, factor {}: {} and {} above the bounds", Describe(settings), factor, before, after),
+        before <= 0 && after <= 0);
     }
   }
 
@@ -170,9 +168,8 @@
       passedAll += passed;
       owedAll += owed;
       worst = owed > 0 ? std::min(worst, passed / owed) : worst;
-      CPPUNIT_ASSERT_MESSAGE(
-        fmt::format("{}: {} of {} passed", Describe(settings), passed, owed),
-        passed >= 0.95 * owed - 2);
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("{}: {} of {} passed", Describe(settings), passed, owed),
+                             passed >= 0.95 * owed - 2);
     }
     if (std::getenv("APRICOT_FIGURES") != nullptr) {
       std::cout << fmt::format(
@@ -183,8 +180,8 @@
   }
 
   // The callers of the workspace use gateways that get at least 6 requests per second each: a share
-  // below 1 per second cannot serve a request within the second. Two requests are tolerated, because
-  // a second of the lowest rate has only 10.
+  // below 1 per second cannot serve a request within the second. Two requests are tolerated,
+  // because a second of the lowest rate has only 10.
   void HalfPassesWhileTheOwnerIsCutOff()
   {
     double worst = 1;
@@ -205,8 +202,8 @@
       const auto passed = static_cast<double>(model.PassedOf(kFrom, kUntil));
       const auto owed = static_cast<double>(model.Owed(settings.mLimit, kFrom, kUntil));
       worst = std::min(worst, passed / owed);
-      CPPUNIT_ASSERT_MESSAGE(
-        fmt::format("{}: {} of {} passed", Describe(settings), passed, owed), passed >= 0.5 * owed - 2);
+      CPPUNIT_ASSERT_MESSAGE(fmt::format("{}: {} of {} passed", Describe(settings), passed, owed),
+                             passed >= 0.5 * owed - 2);
     }
     if (std::getenv("APRICOT_FIGURES") != nullptr) {
       std::cout << fmt::format("owner cut off for 1 s: {:.3f} passed in the worst seed\n", worst);
--- a/tests/test_relay_quota.cpp
+++ b/tests/test_relay_quota.cpp
@@ -234,9 +234,8 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 7 }, call.mIncarnation);
     CPPUNIT_ASSERT_EQUAL(std::string("w"), call.mDemands.front().mWorkspace);
     CPPUNIT_ASSERT_EQUAL(1U, call.mDemands.front().mWanted);
-    CPPUNIT_ASSERT(
-      fixture.Metrics().find("apricot_quota_requests_total{decision=\"granted\"} 1") !=
-      std::string::npos);
+    CPPUNIT_ASSERT(fixture.Metrics().find("apricot_quota_requests_total{decision=\"granted\"} 1") !=
+                   std::string::npos);
   }
 
   void ExtraTokenServesTheNextRequestAtOnce()
