--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -40,9 +40,10 @@
 RelayOutcome
 ClassifyOutcome(int aStatus, bool aIncomplete)
 {
+  constexpr int kTooManyRequests = 429;
   constexpr int kServiceUnavailable = 503;
   constexpr int kBadGateway = 502;
-  if (aStatus == kServiceUnavailable) {
+  if (aStatus == kServiceUnavailable || aStatus == kTooManyRequests) {
     return RelayOutcome::Refused;
   }
   if (aStatus >= kBadGateway) {
@@ -67,6 +68,8 @@
   mState->mLoop.CancelTimer(mState->mReachabilityTimer);
   mState->mLoop.CancelTimer(mState->mSilenceTimer);
   mState->mLoop.CancelTimer(mState->mWarmupTimer);
+  mState->mLoop.CancelTimer(mState->mQuota.mCallTimer);
+  mState->mLoop.CancelTimer(mState->mQuota.mTimeoutTimer);
 }
 
 void
@@ -317,6 +320,8 @@
       abandoned->mFinished = true;
       mOpenRequests.erase(abandoned);
       mClient.Cancel(abandoned->mPeerTransfer);
+      CancelUnsentAttempts(*abandoned);
+      ReturnUnusedToken(*abandoned);
       CancelAttempts(*abandoned);
     }
   });
@@ -325,6 +330,10 @@
     PassOn(aRelayed);
     return;
   }
+  if (!Admit(aRelayed)) {
+    StartTimers(aRelayed);
+    return;
+  }
   SendFirstAttempts(aRelayed);
   StartTimers(aRelayed);
   FinishIfDecided(aRelayed);
@@ -582,6 +591,7 @@
   RelayedRequest& relayed = *aRelayed;
   relayed.mFinished = true;
   mOpenRequests.erase(aRelayed);
+  ReturnUnusedToken(relayed);
   mLoop.CancelTimer(relayed.mObjectiveTimer);
   mLoop.CancelTimer(relayed.mDeadlineTimer);
   mLoop.CancelTimer(relayed.mProofTimer);
@@ -628,6 +638,11 @@
   if (plainSuccess && ++mPlainSuccesses % kLogSampleInterval != 0 && !LogEnabled(LogLevel::Debug)) {
     return;
   }
+  // Their number is in QuotaExceeded.
+  if (aRelayed.mOverQuota && mQuota.mLoggedAnswers++ % kLogSampleInterval != 0 &&
+      !LogEnabled(LogLevel::Debug)) {
+    return;
+  }
   LogEvent(
     Event::RequestAnswered,
     { { "request", aRelayed.mId },
