Limit the share of sends that leaves an overloaded data centre

Cause: each send went to the cheapest replica as this gateway saw it. When every data centre was overloaded, half of the sends crossed between them for nothing, and there was no price.

Change: src/locality decides for each service in use, every 250 ms, which share of the first sends may leave to each other data centre, from relative latencies, failures, link time and price. The cost per send still chooses within the share. Without overload, placement makes the same choices as before. Settings: locality.price_per_gb.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -88,6 +88,7 @@
     settings.mDataCentre = aSettings.mDataCentre;
     settings.mSourceIp = aSettings.mCallerAddress.mIp;
     settings.mExtraSends = aSettings.mExtraSends;
+    settings.mPricePerGb = aSettings.mPricePerGb;
     settings.mSeed = std::hash<std::string>()(aSettings.mHost);
     return settings;
   }
@@ -587,6 +588,7 @@
 {
   constexpr std::int64_t kMaxPort = 65'535;
   constexpr double kMaxFixedExtraSends = 1e6;
+  constexpr double kMaxPricePerGb = 1e6;
   aReader.Text("host", Presence::Required, 1, 64, aSettings.mHost);
   aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
   aReader.Address("caller_address", Presence::Required, aSettings.mCallerAddress);
@@ -602,6 +604,8 @@
                aSettings.mExtraSends.mWindow);
   aReader.Number(
     "extra_sends.fixed", Presence::Optional, 0, kMaxFixedExtraSends, aSettings.mExtraSends.mFixed);
+  aReader.Number(
+    "locality.price_per_gb", Presence::Optional, 0, kMaxPricePerGb, aSettings.mPricePerGb);
   aReader.Number("processor_share", Presence::Optional, 0.01, 1024, aSettings.mProcessorShare);
   aReader.Time("stop_grace",
                Presence::Optional,
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -28,6 +28,8 @@
   // Addresses of some coordinators. Only the IP addresses are used; the port is mRpcPort.
   std::vector<SocketAddress> mSeeds;
   ExtraBudgetLimits mExtraSends;
+  // Price of a GB to another data centre; 0 if it costs nothing.
+  double mPricePerGb = 0;
   // Cores that this host may use; a fraction on small hosts.
   double mProcessorShare = 1;
   // Time from the stop signal until the process must have exited.
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -164,7 +164,11 @@
                                 : aLimits.mMaxInFlightRemote;
     if (!TakesRequest(*replica, aNow) || aExcluded.contains(replica->mInfo.mId) ||
         replica->mInFlightSince.size() >= limit ||
-        (aLimits.mSpareLimited && replica->mRequestLimit.mTotal)) {
+        (aLimits.mSpareLimited && replica->mRequestLimit.mTotal) ||
+        (!aLimits.mOnlyDataCentres.empty() &&
+         std::find(aLimits.mOnlyDataCentres.begin(),
+                   aLimits.mOnlyDataCentres.end(),
+                   replica->mInfo.mDataCentre) == aLimits.mOnlyDataCentres.end())) {
       continue;
     }
     const double cost = CostUs(*replica, aLimits, aTypicalLatency, aNow, aRng);
--- a/src/placement.h
+++ b/src/placement.h
@@ -80,6 +80,8 @@
   bool mConnectionsScarce = false;
   // Leaves out replicas with a request limit. For requests that are not necessary, such as hedges.
   bool mSpareLimited = false;
+  // If not empty, leaves out replicas in data centres that are not listed.
+  std::vector<std::string_view> mOnlyDataCentres;
 };
 
 // Share of a replica's connections that all gateways use together. When gateways lose power,
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,5 +1,5 @@
-#include "relay_state.h"
 #include "forwarding.h"
+#include "relay_state.h"
 #include "settings.h"
 
 #include <charconv>
@@ -66,6 +66,7 @@
   mState->mLoop.CancelTimer(mState->mPreconnectTimer);
   mState->mLoop.CancelTimer(mState->mReachabilityTimer);
   mState->mLoop.CancelTimer(mState->mSilenceTimer);
+  mState->mLoop.CancelTimer(mState->mLocalityTimer);
 }
 
 void
@@ -197,6 +198,7 @@
   }
   state.mMetrics.SetReplicaCounts(counts);
   state.mMetrics.SetStoppedRequests(CountStopped(state.mLedger));
+  state.UpdateLocalityGauges();
   for (auto& [name, service] : state.mServices) {
     state.mMetrics.SetBudgetUsed(
       name, ExtraBudgetUsed(service.mBudget, state.ExtraSendLimits(), state.mGatewayCount, now));
@@ -414,6 +416,7 @@
     if (aAttempt.mIsFirstSend) {
       RecordLatency(latencies.mAll, took, now);
       if (aReply.mReusedConnection) {
+        RecordLoadOf(aAttempt, *replica->second, true, now);
         RecordLatency(aAttempt.mIsLocal ? latencies.mLocal : latencies.mRemote, took, now);
       }
     }
@@ -430,6 +433,9 @@
     return;
   }
   RecordFailure(*replica->second, now);
+  if (aEnd != AttemptEnd::Misplaced) {
+    RecordLoadOf(aAttempt, *replica->second, false, now);
+  }
   replica->second->mMisplaced |= aEnd == AttemptEnd::Misplaced;
   LogEvent(Event::AttemptFailed,
            { { "request", aAttempt.mOwner->mId },
@@ -467,6 +473,7 @@
   }
   mMetrics.CountAttempt(subrequest.mService, end);
   mMetrics.CountReplicaBytes(aReply.mBytesSent + aReply.mBytesReceived, attempt.mIsLocal);
+  RecordBytes(subrequest.mService, aReply.mBytesSent + aReply.mBytesReceived);
   RecordAttemptEnd(attempt, end, aReply);
   // Only now, because the reply may say that the replica wants no more requests.
   SendQueued(subrequest.mService);
--- a/src/relay.h
+++ b/src/relay.h
@@ -21,6 +21,8 @@
   // Source IP of connections to replicas.
   std::string mSourceIp;
   ExtraBudgetLimits mExtraSends;
+  // Price of a GB to another data centre; see locality.h.
+  double mPricePerGb = 0;
   std::uint64_t mSeed = 1;
 };
 
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -27,6 +27,8 @@
   , mStoppedRequests(aRegistry.AddGauge("apricot_requests_stopped",
                                         "Requests by service and content that are stopped because "
                                         "they crash replicas."))
+  , mServicesLeaving(aRegistry.AddGauge("apricot_services_leaving",
+                                        "Services whose sends are divided among data centres."))
   , mLocalBytes(aRegistry.AddCounter("apricot_replica_bytes_total",
                                      "Bytes of finished attempts, sent and received.",
                                      R"(data_centre="own")"))
@@ -136,6 +138,24 @@
   mHeldReplicas.Set(static_cast<double>(aCounts.mHeld));
 }
 
+void
+RelayMetrics::SetLeavingShare(const std::string& aDataCentre, double aShare)
+{
+  Gauge*& gauge = mLeavingShares[aDataCentre];
+  if (gauge == nullptr) {
+    gauge = &mRegistry.AddGauge("apricot_leaving_share",
+                                "Share of first sends that may go to another data centre.",
+                                fmt::format(R"(data_centre="{}")", aDataCentre));
+  }
+  gauge->Set(aShare);
+}
+
+void
+RelayMetrics::SetServicesLeaving(std::size_t aCount)
+{
+  mServicesLeaving.Set(static_cast<double>(aCount));
+}
+
 void
 RelayMetrics::SetStoppedRequests(std::size_t aCount)
 {
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -52,6 +52,9 @@
   void SetOpenRequests(std::size_t aRequests);
   void SetReplicaCounts(const ReplicaCounts& aCounts);
   void SetStoppedRequests(std::size_t aCount);
+  // Share of the first sends that may go to the data centre by decision, averaged over services.
+  void SetLeavingShare(const std::string& aDataCentre, double aShare);
+  void SetServicesLeaving(std::size_t aCount);
 
 private:
   static constexpr std::size_t kOutcomeCount = 5;
@@ -80,8 +83,11 @@
   Gauge& mLeavingReplicas;
   Gauge& mHeldReplicas;
   Gauge& mStoppedRequests;
+  Gauge& mServicesLeaving;
   Counter& mLocalBytes;
   Counter& mRemoteBytes;
+  // By data centre.
+  std::map<std::string, Gauge*> mLeavingShares;
   std::map<std::string, RouteMetrics> mRoutes;
   std::map<std::string, ServiceMetrics> mServices;
 };
--- a/src/relay_send.cpp
+++ b/src/relay_send.cpp
@@ -54,6 +54,10 @@
   std::span<ReplicaView* const> replicas = service->second.mReplicas;
   const std::set<std::string>& tried = aSubrequest.mTriedReplicas;
   if (!NeedsIsolation(aRelayed, aSubrequest)) {
+    if (aSubrequest.mSendCount == 0) {
+      return ChooseByLocality(
+        service->second.mLocality.mState, replicas, tried, mLimits, typicalLatency, aNow, mRng);
+    }
     return ChooseReplica(replicas, tried, limits, typicalLatency, aNow, mRng);
   }
   const TimePoint lastStrikeAt = LastStrikeAt(mLedger, FingerprintOf(aRelayed, aSubrequest));
@@ -260,7 +264,9 @@
   }
   CountRequest(replica->mRequestLimit, now);
   if (attempt.mIsFirstSend) {
-    CountFirstSend(mServices[subrequest.mService].mBudget, mSettings.mExtraSends, now);
+    RelayService& service = mServices[subrequest.mService];
+    CountFirstSend(service.mBudget, mSettings.mExtraSends, now);
+    NoteFirstSend(service, *replica, now);
   }
   attempt.mTransfer =
     mClient.Send(MakeReplicaRequest(*aRelayed, *replica, now),
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -2,6 +2,7 @@
 // Included only by the relay's own sources, each of which implements one step:
 //   relay.cpp            accepts requests, judges replies and finishes requests
 //   relay_send.cpp       chooses replicas, opens connections, sends, queues, retries and hedges
+//   relay_locality.cpp   observes loads and decides which share of the sends leaves the data centre
 //   relay_passing.cpp    passes requests on to other gateways while no replica can be reached
 //   relay_crashes.cpp    attributes crashes of replicas to requests
 //   relay_responses.cpp  makes the responses to callers
@@ -9,6 +10,7 @@
 #define APRICOTYARD_RELAY_STATE_H
 
 #include "crash_ledger.h"
+#include "locality.h"
 #include "log.h"
 #include "reachability.h"
 #include "relay.h"
@@ -111,6 +113,25 @@
   // Only over reused connections, to replicas in this data centre and in others.
   LatencyHistogram mLocal;
   LatencyHistogram mRemote;
+  // To replicas in this data centre, if there are any.
+  UsualLatency mUsual;
+};
+
+// Loads of one service by data centre, and the share of its sends that leaves.
+struct ServiceLocality
+{
+  std::map<std::string, LoadEstimate> mLoads;
+  LocalityState mState;
+  // First sends by data centre since the last update.
+  std::map<std::string, std::uint32_t> mSent;
+  // Bytes per attempt, smoothed.
+  double mBytes = 0;
+  // Usual latency and objective of the route that used the service last.
+  Duration mUsual{};
+  Duration mObjective{};
+  TimePoint mUsedAt{};
+  TimePoint mUpdatedAt{};
+  double mLoggedShare = 0;
 };
 
 struct RelayService
@@ -120,6 +141,7 @@
   WaitQueue<WaitingSubrequest> mWaitQueue;
   // Runs while queued sub-requests wait until a replica wants one.
   TimerId mQueueTimer = 0;
+  ServiceLocality mLocality;
 };
 
 // Whether the request or a part of it may have run at a replica.
@@ -212,6 +234,16 @@
   // Calls SendQueued once the replicas' own words allow the next sub-request.
   void ScheduleQueuedSend(const std::string& aService);
   void HandleSignals(ReplicaView& aReplica, const ClientReply& aReply);
+  // Observes loads, and decides every kLocalityInterval for the services in use.
+  void NoteFirstSend(RelayService& aService, const ReplicaView& aReplica, TimePoint aNow);
+  void RecordLoadOf(const RelayAttempt& aAttempt,
+                    const ReplicaView& aReplica,
+                    bool aAnswered,
+                    TimePoint aNow);
+  void RecordBytes(const std::string& aService, std::size_t aBytes);
+  LocalityInputs MakeLocalityInputs(RelayService& aService, TimePoint aNow);
+  void UpdateLocalities();
+  void UpdateLocalityGauges();
   void OnHedgeTimer(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
   void OnReply(AttemptId aAttemptId, ClientReply aReply);
   void OnSubrequestAnswered(const std::shared_ptr<RelayedRequest>& aRelayed,
@@ -295,6 +327,9 @@
   std::set<std::shared_ptr<RelayedRequest>> mOpenRequests;
   std::uint64_t mPlainSuccesses = 0;
   TimerId mPreconnectTimer = 0;
+  // Loads over all services, by data centre.
+  std::map<std::string, LoadEstimate> mDataCentreLoads;
+  TimerId mLocalityTimer = 0;
   const TimePoint mStartedAt = SteadyNow();
   // Limit on idle connections to all replicas together.
   std::size_t mMaxIdleConnections = 0;
