--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -70,6 +70,7 @@
   mState->mLoop.CancelTimer(mState->mWarmupTimer);
   mState->mLoop.CancelTimer(mState->mQuota.mCallTimer);
   mState->mLoop.CancelTimer(mState->mQuota.mTimeoutTimer);
+  mState->mLoop.CancelTimer(mState->mLocalityTimer);
 }
 
 void
@@ -211,6 +212,7 @@
   }
   state.mMetrics.SetReplicaCounts(counts);
   state.mMetrics.SetStoppedRequests(CountStopped(state.mLedger));
+  state.UpdateLocalityGauges();
   for (auto& [name, service] : state.mServices) {
     state.mMetrics.SetBudgetUsed(
       name, ExtraBudgetUsed(service.mBudget, state.ExtraSendLimits(), state.mGatewayCount, now));
@@ -440,6 +442,7 @@
     if (aAttempt.mIsFirstSend) {
       RecordLatency(latencies.mAll, took, now);
       if (aReply.mReusedConnection) {
+        RecordLoadOf(aAttempt, *replica->second, true, now);
         RecordLatency(aAttempt.mIsLocal ? latencies.mLocal : latencies.mRemote, took, now);
       }
     }
@@ -456,6 +459,9 @@
     return;
   }
   RecordFailure(*replica->second, now);
+  if (aEnd != AttemptEnd::Misplaced) {
+    RecordLoadOf(aAttempt, *replica->second, false, now);
+  }
   replica->second->mMisplaced |= aEnd == AttemptEnd::Misplaced;
   LogEvent(Event::AttemptFailed,
            { { "request", aAttempt.mOwner->mId },
@@ -493,6 +499,7 @@
   }
   mMetrics.CountAttempt(subrequest.mService, end);
   mMetrics.CountReplicaBytes(aReply.mBytesSent + aReply.mBytesReceived, attempt.mIsLocal);
+  RecordBytes(subrequest.mService, aReply.mBytesSent + aReply.mBytesReceived);
   RecordAttemptEnd(attempt, end, aReply);
   if (aReply.mEnd == TransferEnd::Lost && aReply.mConnectionEnded && !HasAnswer(*relayed)) {
     ++relayed->mLostReplicas;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -36,6 +36,8 @@
   , mWithoutLease(aRegistry.AddCounter("apricot_requests_without_lease_total",
                                        "Requests with keys refused because the gateway cannot "
                                        "confirm that its document is in force."))
+  , mServicesLeaving(aRegistry.AddGauge("apricot_services_leaving",
+                                        "Services whose sends are divided among data centres."))
   , mLocalBytes(aRegistry.AddCounter("apricot_replica_bytes_total",
                                      "Bytes of finished attempts, sent and received.",
                                      R"(data_centre="own")"))
@@ -159,6 +161,24 @@
   mEvacuatedReplicas.Set(static_cast<double>(aCounts.mEvacuated));
 }
 
+void
+RelayMetrics::SetLeavingShare(const std::string& aDataCentre, double aShare)
+{
+  Gauge*& gauge = mLeavingShares[aDataCentre];
+  if (gauge == nullptr) {
+    gauge = &mRegistry.AddGauge("apricot_leaving_share",
+                                "Share of first sends that may go to another data centre.",
+                                fmt::format(R"(data_centre="{}")", aDataCentre));
+  }
+  gauge->Set(aShare);
+}
+
+void
+RelayMetrics::SetServicesLeaving(std::size_t aCount)
+{
+  mServicesLeaving.Set(static_cast<double>(aCount));
+}
+
 void
 RelayMetrics::SetStoppedRequests(std::size_t aCount)
 {
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -4,6 +4,7 @@
 //   relay_identity.cpp   identifies callers and checks their keys before each send
 //   relay_send.cpp       chooses replicas, opens connections, sends, queues, retries and hedges
 //   relay_quota.cpp      admits requests of workspaces with a limit
+//   relay_locality.cpp   observes loads and decides which share of the sends leaves the data centre
 //   relay_passing.cpp    passes requests on to other gateways while no replica can be reached
 //   relay_evacuation.cpp applies evacuations of data centres and warm-ups of replicas
 //   relay_crashes.cpp    attributes crashes of replicas to requests
@@ -13,8 +14,9 @@
 
 #include "caller_identity.h"
 #include "crash_ledger.h"
-#include "gather_guard.h"
 #include "document_lease.h"
+#include "gather_guard.h"
+#include "locality.h"
 #include "log.h"
 #include "reachability.h"
 #include "relay.h"
@@ -141,6 +143,25 @@
   // Only over reused connections, to replicas in this data centre and in others.
   LatencyHistogram mLocal;
   LatencyHistogram mRemote;
+  // To replicas in this data centre, if there are any.
+  UsualLatency mUsual;
+};
+
+// Loads of one service by data centre, and the share of its sends that leaves.
+struct ServiceLocality
+{
+  std::map<std::string, LoadEstimate> mLoads;
+  LocalityState mState;
+  // First sends by data centre since the last update.
+  std::map<std::string, std::uint32_t> mSent;
+  // Bytes per attempt, smoothed.
+  double mBytes = 0;
+  // Usual latency and objective of the route that used the service last.
+  Duration mUsual{};
+  Duration mObjective{};
+  TimePoint mUsedAt{};
+  TimePoint mUpdatedAt{};
+  double mLoggedShare = 0;
 };
 
 struct RelayService
@@ -150,6 +171,7 @@
   WaitQueue<WaitingSubrequest> mWaitQueue;
   // Runs while queued sub-requests wait until a replica wants one.
   TimerId mQueueTimer = 0;
+  ServiceLocality mLocality;
 };
 
 // Whether the request or a part of it may have run at a replica.
@@ -292,6 +314,16 @@
   // Ends the attempts at evacuated replicas that wait for a connection, and sends them elsewhere.
   void MoveUnsentAttempts();
   void SendAllQueued();
+  // Observes loads, and decides every kLocalityInterval for the services in use.
+  void NoteFirstSend(RelayService& aService, const ReplicaView& aReplica, TimePoint aNow);
+  void RecordLoadOf(const RelayAttempt& aAttempt,
+                    const ReplicaView& aReplica,
+                    bool aAnswered,
+                    TimePoint aNow);
+  void RecordBytes(const std::string& aService, std::size_t aBytes);
+  LocalityInputs MakeLocalityInputs(RelayService& aService, TimePoint aNow);
+  void UpdateLocalities();
+  void UpdateLocalityGauges();
   void OnHedgeTimer(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
   void OnReply(AttemptId aAttemptId, ClientReply aReply);
   void OnSubrequestAnswered(const std::shared_ptr<RelayedRequest>& aRelayed,
@@ -380,6 +412,9 @@
   std::set<std::shared_ptr<RelayedRequest>> mOpenRequests;
   std::uint64_t mPlainSuccesses = 0;
   TimerId mPreconnectTimer = 0;
+  // Loads over all services, by data centre.
+  std::map<std::string, LoadEstimate> mDataCentreLoads;
+  TimerId mLocalityTimer = 0;
   const TimePoint mStartedAt = SteadyNow();
   // Limit on idle connections to all replicas together.
   std::size_t mMaxIdleConnections = 0;
