--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -13,6 +13,7 @@
   enum Argument
   {
     Self = 2,
+    RevocationLimit,
     FirstSeed,
   };
   if (aCount <= FirstSeed) {
@@ -27,6 +28,9 @@
   settings.mRpcPort = kRpcPort;
   settings.mExtraSends = { 0.2, std::chrono::seconds(10), 50 };
   settings.mSecurity.mPlaintext = true;
+  if (const auto limit = ParseDuration(aArguments[RevocationLimit]); limit && limit->count() > 0) {
+    settings.mRevocationLimit = *limit;
+  }
   for (int i = FirstSeed; i < aCount; ++i) {
     settings.mSeeds.push_back({ aArguments[i], kControlPort });
   }
@@ -34,11 +38,14 @@
 }
 
 std::vector<std::string>
-GatewayArguments(const std::string& aIp, const std::vector<std::string>& aSeeds)
+GatewayArguments(const std::string& aIp,
+                 const std::vector<std::string>& aSeeds,
+                 std::optional<Duration> aRevocationLimit)
 {
   std::vector<std::string> arguments;
   arguments.emplace_back(kRunGatewayArgument);
   arguments.push_back(aIp);
+  arguments.push_back(FormatDuration(aRevocationLimit.value_or(Duration::zero())));
   arguments.insert(arguments.end(), aSeeds.begin(), aSeeds.end());
   return arguments;
 }
--- a/tests/gateway_process.h
+++ b/tests/gateway_process.h
@@ -3,6 +3,9 @@
 #define APRICOTYARD_GATEWAY_PROCESS_H
 
 #include "child_process.h"
+#include "types.h"
+
+#include <optional>
 
 namespace apricotyard {
 
@@ -15,8 +18,11 @@
 RunGatewayProcess(int aCount, char** aArguments);
 
 // Arguments for a gateway at the address aIp that knows the coordinators at aSeeds.
+// aRevocationLimit is empty if it needs no lease to judge keys.
 std::vector<std::string>
-GatewayArguments(const std::string& aIp, const std::vector<std::string>& aSeeds);
+GatewayArguments(const std::string& aIp,
+                 const std::vector<std::string>& aSeeds,
+                 std::optional<Duration> aRevocationLimit = std::nullopt);
 
 } // namespace apricotyard
 
--- a/tests/process_protocol.cpp
+++ b/tests/process_protocol.cpp
@@ -1,5 +1,6 @@
 #include "process_protocol.h"
 
+#include "caller_identity.h"
 #include "settings.h"
 
 #include <cstdlib>
@@ -66,6 +67,14 @@
   route.mTopRecords = 1;
   route.mMinCoverage = 0.5;
   for (std::string service; words >> service;) {
+    if (service.starts_with('@')) {
+      const std::size_t colon = service.find(':');
+      Workspace workspace;
+      workspace.mName = service.substr(1, colon - 1);
+      workspace.mKeys = { DigestKey(service.substr(colon + 1)) };
+      document.mWorkspaces.push_back(std::move(workspace));
+      continue;
+    }
     route.mServices.push_back({ service, 1 });
     document.mServices.push_back({ service, kMaxConnections });
   }
@@ -80,7 +89,8 @@
 HeaderNames
 TestHeaderNames()
 {
-  return { "x-id", "x-left", "x-expect", "x-signature", "x-parts", "x-missing", "x-not-run" };
+  return { "x-id",      "x-left",    "x-expect", "x-signature", "x-parts",
+           "x-missing", "x-not-run", "x-key",    "x-workspace" };
 }
 
 PlatformProtocol
@@ -88,6 +98,7 @@
 {
   PlatformProtocol protocol;
   protocol.mHeaders = TestHeaderNames();
+  protocol.mDecodeKey = [](const HttpRequest& aRequest) { return aRequest.Header("x-key"); };
   protocol.mDecodeCall = DecodeCall;
   protocol.mDecodeDocument = DecodeDocumentText;
   protocol.mEncodeGateways = [](const std::vector<SocketAddress>&, std::chrono::milliseconds) {
--- a/tests/process_protocol.h
+++ b/tests/process_protocol.h
@@ -19,7 +19,7 @@
 // Calls are PUT and DELETE /upstreams/ID with the arguments sequence, state, service, address,
 // incarnation, all optional; PUT and GET /document; GET /ready. A document is its version, "one" or
 // "all", and the services of its only route, which has the host "h" and the prefix "/". The version
-// alone is a document without a route.
+// alone is a document without a route. A service of the form @NAME:KEY is a workspace instead.
 PlatformProtocol
 MakeProcessProtocol();
 
