--- a/tests/process_protocol.cpp
+++ b/tests/process_protocol.cpp
@@ -111,7 +111,8 @@
 HeaderNames
 TestHeaderNames()
 {
-  return { "x-id", "x-left", "x-expect", "x-signature", "x-parts", "x-missing", "x-not-run" };
+  return { "x-id",      "x-left",    "x-expect", "x-signature", "x-parts",
+           "x-missing", "x-not-run", "x-key",    "x-workspace" };
 }
 
 PlatformProtocol
