--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -73,6 +73,8 @@
 // A gateway that was not heard by this coordinator for this time holds no share of an owner, unless
 // it is cut off from this coordinator alone.
 constexpr Duration kMaxShareSilence = std::chrono::seconds(15);
+// Pause between two checks whether all gateways have reported. Each check goes through all of them.
+constexpr Duration kShareCheckInterval = std::chrono::milliseconds(100);
 // Sent in the Retry-After header of errors that are likely to be temporary.
 constexpr const char* kRetryAfterSeconds = "0.5";
 
@@ -226,6 +228,7 @@
   // Tokens of workspaces, while this host leads, and the document that the limits are from.
   QuotaLedger mQuotaLedger;
   DocumentVersion mQuotaVersion = 0;
+  TimePoint mQuotaCheckAt;
   QuotaChannels mQuotaChannels;
   Counter& mQuotaCalls = mMetrics.AddCounter("apricot_quota_owner_calls_total",
                                              "Calls of gateways for tokens, served by this host.");
@@ -577,9 +580,10 @@
 Coordinator::EndUnknownQuotaShares()
 {
   const TimePoint now = SteadyNow();
-  if (now >= mQuotaLedger.mUnknownUntil) {
+  if (now >= mQuotaLedger.mUnknownUntil || now < mQuotaCheckAt) {
     return;
   }
+  mQuotaCheckAt = now + kShareCheckInterval;
   std::vector<std::string> gateways;
   for (const auto& [ip, known] : mRegistry.mHosts) {
     if (known.mHost.mRole == FleetRole::Gateway && known.mHeardAt + kMaxShareSilence > now) {
--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -238,8 +238,8 @@
   const auto index = static_cast<std::uint32_t>(aLedger.mCallers.size());
   QuotaLedger::Caller& caller =
     aLedger.mCallers.try_emplace(aCall.mGateway, QuotaLedger::Caller{ index, 0, 0 }).first->second;
-  if (std::pair(aCall.mIncarnation, aCall.mNumber) <=
-      std::pair(caller.mIncarnation, caller.mNumber)) {
+  // Incarnations come from the wall clock, which may be set back, so they are not compared by size.
+  if (aCall.mIncarnation == caller.mIncarnation && aCall.mNumber <= caller.mNumber) {
     return nullptr;
   }
   caller.mIncarnation = aCall.mIncarnation;
--- a/src/quota_ledger.h
+++ b/src/quota_ledger.h
@@ -144,8 +144,7 @@
                TimePoint aNow);
 
 // Serves a call of a gateway. Returns nothing for one that was overtaken by a later call of the
-// same process or of a later process. Numbers in the call that cannot be right are limited or
-// ignored.
+// same process. Numbers in the call that cannot be right are limited or ignored.
 std::optional<QuotaReply>
 AcquireQuota(QuotaLedger& aLedger, const QuotaCall& aCall, TimePoint aNow);
 
--- a/src/relay_quota.cpp
+++ b/src/relay_quota.cpp
@@ -86,19 +86,21 @@
   if (workspace == nullptr || workspace->mRate <= 0 || !mQuota.mCaller) {
     return true;
   }
+  relayed.mQuotaWorkspace = workspace->mName;
+  relayed.mQuotaLimit = { workspace->mRate, workspace->mBurst };
   const TimePoint now = SteadyNow();
   const QuotaDecision decision = TakeToken(mQuota.mShare, workspace->mName, workspace->mRate, now);
   switch (decision) {
     case QuotaDecision::Granted:
     case QuotaDecision::GrantedAlone:
-      CountAdmission(relayed, *workspace, decision == QuotaDecision::GrantedAlone);
+      CountAdmission(relayed, decision == QuotaDecision::GrantedAlone);
       break;
     case QuotaDecision::Wait:
       relayed.mQuotaState = QuotaState::Waiting;
       mQuota.mWaiting[workspace->mName].push_back(aRelayed);
       break;
     case QuotaDecision::Unavailable:
-      RefuseForQuota(aRelayed, *workspace, true, Duration::zero());
+      RefuseForQuota(aRelayed, true, Duration::zero());
       break;
   }
   CallQuotaOwner();
@@ -106,11 +108,10 @@
 }
 
 void
-Relay::State::CountAdmission(RelayedRequest& aRelayed, const Workspace& aWorkspace, bool aAlone)
+Relay::State::CountAdmission(RelayedRequest& aRelayed, bool aAlone)
 {
   aRelayed.mQuotaState = aAlone ? QuotaState::GrantedAlone : QuotaState::Granted;
   aRelayed.mQuotaTerm = mQuota.mShare.mTerm;
-  aRelayed.mQuotaWorkspace = aWorkspace.mName;
   (aAlone ? mQuota.mMetrics.mAlone : mQuota.mMetrics.mGranted).Add();
   mQuota.mMetrics.mWait.Record(SteadyNow() - aRelayed.mArrivedAt);
 }
@@ -192,18 +193,17 @@
   }
   std::int64_t refused = 0;
   for (const std::shared_ptr<RelayedRequest>& relayed : asked) {
-    const Workspace* const workspace = WorkspaceOf(*relayed);
     if (tokens > 0) {
       const bool alone = tokens <= aOutcome.mAlone;
       --tokens;
-      CountAdmission(*relayed, *workspace, alone);
+      CountAdmission(*relayed, alone);
       SendFirstAttempts(relayed);
       FinishIfDecided(relayed);
       continue;
     }
     const Duration wait = aOutcome.mWait + aOutcome.mSlot * refused;
     if (aOutcome.mUnavailable || !PauseForToken(relayed, wait)) {
-      RefuseForQuota(relayed, *workspace, aOutcome.mUnavailable, wait);
+      RefuseForQuota(relayed, aOutcome.mUnavailable, wait);
     }
     ++refused;
   }
@@ -244,7 +244,6 @@
 
 void
 Relay::State::RefuseForQuota(const std::shared_ptr<RelayedRequest>& aRelayed,
-                             const Workspace& aWorkspace,
                              bool aUnavailable,
                              Duration aWait)
 {
@@ -257,7 +256,7 @@
   }
   mQuota.mMetrics.mDenied.Add();
   aRelayed->mOverQuota = true;
-  LogQuotaRefusal(aWorkspace);
+  LogQuotaRefusal(*aRelayed);
   HttpResponse response = ErrorResponse(Result::OverQuota, "the workspace is over its quota");
   const double spread = std::uniform_real_distribution<double>(0, 1)(mRng);
   const std::chrono::duration<double> wait(aWait);
@@ -268,7 +267,7 @@
 }
 
 void
-Relay::State::LogQuotaRefusal(const Workspace& aWorkspace)
+Relay::State::LogQuotaRefusal(const RelayedRequest& aRelayed)
 {
   const TimePoint now = SteadyNow();
   if (mQuota.mRefusals.size() >= kMaxRefusalRecords) {
@@ -276,20 +275,20 @@
       return aEntry.second.mLoggedAt + kRefusalLogInterval <= now;
     });
   }
-  const auto found = mQuota.mRefusals.find(aWorkspace.mName);
+  const auto found = mQuota.mRefusals.find(aRelayed.mQuotaWorkspace);
   if (found == mQuota.mRefusals.end() && mQuota.mRefusals.size() >= kMaxRefusalRecords) {
     return;
   }
-  QuotaRefusals& refusals = mQuota.mRefusals[aWorkspace.mName];
+  QuotaRefusals& refusals = mQuota.mRefusals[aRelayed.mQuotaWorkspace];
   ++refusals.mCount;
   if (found != mQuota.mRefusals.end() && refusals.mLoggedAt + kRefusalLogInterval > now) {
     return;
   }
   LogEvent(Event::QuotaExceeded,
-           { { "workspace", aWorkspace.mName },
+           { { "workspace", aRelayed.mQuotaWorkspace },
              { "refused", refusals.mCount },
-             { "rate", aWorkspace.mRate },
-             { "burst", aWorkspace.mBurst } });
+             { "rate", aRelayed.mQuotaLimit.mRate },
+             { "burst", aRelayed.mQuotaLimit.mBurst } });
   refusals = { 0, now };
 }
 
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -83,10 +83,12 @@
   bool mFinished = false;
   // A crash was attributed to the content of the request.
   bool mBlamed = false;
-  // Token of the workspace, the term in which it was granted, and whose it is.
+  // Token of the workspace, the term in which it was granted, and whose it is under which limit.
+  // The last two are set once the request needs a token.
   QuotaState mQuotaState = QuotaState::None;
   std::uint64_t mQuotaTerm = 0;
   std::string mQuotaWorkspace;
+  QuotaLimit mQuotaLimit;
   bool mAskedForTokenAgain = false;
   // Refused because the workspace is over its quota.
   bool mOverQuota = false;
@@ -191,17 +193,16 @@
   const Workspace* WorkspaceOf(const RelayedRequest& aRelayed) const;
   // Whether the request may be sent now. If not, it waits for a token or was refused.
   bool Admit(const std::shared_ptr<RelayedRequest>& aRelayed);
-  void CountAdmission(RelayedRequest& aRelayed, const Workspace& aWorkspace, bool aAlone);
+  void CountAdmission(RelayedRequest& aRelayed, bool aAlone);
   // Calls the owner of the quotas if a call is due, or sets the timer for the next one.
   void CallQuotaOwner();
   void OnQuotaReply(std::uint64_t aNumber, const std::optional<QuotaReply>& aReply);
   void ResolveWaiting(const QuotaOutcome& aOutcome);
   bool PauseForToken(const std::shared_ptr<RelayedRequest>& aRelayed, Duration aWait);
   void RefuseForQuota(const std::shared_ptr<RelayedRequest>& aRelayed,
-                      const Workspace& aWorkspace,
                       bool aUnavailable,
                       Duration aWait);
-  void LogQuotaRefusal(const Workspace& aWorkspace);
+  void LogQuotaRefusal(const RelayedRequest& aRelayed);
   // Returns the token of a request that ends here without having run. Ends its wait for one.
   void ReturnUnusedToken(RelayedRequest& aRelayed);
 
--- a/tests/test_quota_processes.cpp
+++ b/tests/test_quota_processes.cpp
@@ -5,6 +5,7 @@
 #include "http_client.h"
 #include "loop.h"
 #include "process_protocol.h"
+#include "quota_client.h"
 #include "quota_ledger.h"
 #include "quota_model.h"
 #include "replica_process.h"
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <iostream>
 #include <map>
+#include <set>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -118,6 +120,32 @@
     mCoordinators.Kill(leader);
   }
 
+  // Asks a coordinator for one token of the workspace.
+  std::optional<rpc::QuotaReply> AcquireToken(int aCoordinator, bool aForwarded)
+  {
+    RpcSecurity security;
+    security.mPlaintext = true;
+    QuotaChannels channels(mLoop, kRpcPort, security);
+    rpc::QuotaRequest request;
+    request.set_gateway("192.0.2.1");
+    request.set_incarnation(1);
+    request.set_number(++mTokenCalls);
+    request.set_forwarded(aForwarded);
+    rpc::QuotaDemand& demand = *request.add_demands();
+    demand.set_workspace("w");
+    demand.set_wanted(1);
+    std::optional<rpc::QuotaReply> result;
+    channels.Call(mCoordinatorIps[static_cast<std::size_t>(aCoordinator)],
+                  request,
+                  seconds(2),
+                  [&](std::optional<rpc::QuotaReply> aReply) {
+                    result = std::move(aReply);
+                    mLoop.Stop();
+                  });
+    mLoop.Run();
+    return result;
+  }
+
   double Excess() const
   {
     return ExcessOverBound(mPassed, kLimit, TimePoint::min(), TimePoint::max());
@@ -249,6 +277,7 @@
   HttpClient mClient{ mLoop, "", 0 };
   int mVersion = 0;
   std::uint64_t mRequests = 0;
+  std::uint64_t mTokenCalls = 0;
   TimePoint mStart;
   TimePoint mEnd;
   Duration mPause{};
@@ -265,6 +294,7 @@
   CPPUNIT_TEST(RequestsBelowTheLimitAreServedWithoutTheOwner);
   CPPUNIT_TEST(LimitOutlastsTheLossOfTheOwner);
   CPPUNIT_TEST(LimitOutlastsTheRestartOfAGateway);
+  CPPUNIT_TEST(EveryCoordinatorForwardsToTheOwner);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -314,6 +344,28 @@
     CPPUNIT_ASSERT(fleet.Excess() <= 0);
     CPPUNIT_ASSERT(fleet.Count(kOk, seconds(9), seconds(12)) >= 57);
   }
+
+  // Guards against gateways that reach a coordinator but not the leader and get no tokens.
+  void EveryCoordinatorForwardsToTheOwner()
+  {
+    QuotaFleet fleet;
+    std::set<std::string> owners;
+    for (int i = 0; i < 3; ++i) {
+      const auto reply = fleet.AcquireToken(i, false);
+      CPPUNIT_ASSERT(reply && reply->term() > 0);
+      // One, and an extra one while the bucket is far from empty.
+      CPPUNIT_ASSERT(reply->grants(0).granted() >= 1);
+      owners.insert(reply->owner());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, owners.size());
+    // A call is forwarded once: of those that were, only the leader serves one.
+    int served = 0;
+    for (int i = 0; i < 3; ++i) {
+      const auto reply = fleet.AcquireToken(i, true);
+      served += reply && reply->term() > 0 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, served);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaProcessesTest);
