--- a/tests/test_relay_quota.cpp
+++ b/tests/test_relay_quota.cpp
@@ -77,18 +77,21 @@
     Publish(aRate, aPublicRoute);
   }
 
-  ClientReply Get(const std::string& aKey = "secret")
+  ClientReply Get(const std::vector<HttpHeader>& aHeaders = {})
   {
     ClientReply result;
-    Send(aKey, [&](ClientReply aReply) {
-      result = std::move(aReply);
-      mLoop.Stop();
-    });
+    Send(
+      [&](ClientReply aReply) {
+        result = std::move(aReply);
+        mLoop.Stop();
+      },
+      aHeaders);
     mLoop.Run();
     return result;
   }
 
-  TransferId Send(const std::string& aKey, std::function<void(ClientReply)> aHandler)
+  TransferId Send(std::function<void(ClientReply)> aHandler,
+                  const std::vector<HttpHeader>& aHeaders = {})
   {
     ClientRequest request;
     request.mMethod = "GET";
@@ -96,10 +99,8 @@
     request.mAddress = { kGatewayIp, kGatewayPort };
     request.mForwarded = true;
     request.mTimeout = seconds(5);
-    request.mHeaders = { { "Host", "h" }, { "X-Id", "id-1" } };
-    if (!aKey.empty()) {
-      request.mHeaders.push_back({ "X-Key", aKey });
-    }
+    request.mHeaders = { { "Host", "h" }, { "X-Id", "id-1" }, { "X-Key", "secret" } };
+    request.mHeaders.insert(request.mHeaders.end(), aHeaders.begin(), aHeaders.end());
     return mClient.Send(std::move(request), std::move(aHandler));
   }
 
@@ -209,6 +210,8 @@
   CPPUNIT_TEST(TokenOfACallerThatLeftServesAnother);
   CPPUNIT_TEST(AbortAnswersWaitingRequests);
   CPPUNIT_TEST(RequestsThatArriveDuringACallShareTheNext);
+  CPPUNIT_TEST(DeadlineEndsTheWait);
+  CPPUNIT_TEST(RequestThatWasPassedOnTakesItsTokenHere);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -326,7 +329,7 @@
   {
     QuotaFixture fixture;
     fixture.mOwner = nullptr;
-    const TransferId transfer = fixture.Send("secret", [](const ClientReply&) {});
+    const TransferId transfer = fixture.Send([](const ClientReply&) {});
     fixture.RunFor(milliseconds(50));
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mCalls.size());
     fixture.mClient.Cancel(transfer);
@@ -359,9 +362,8 @@
     fixture.mOwner = nullptr;
     int answered = 0;
     for (int i = 0; i < 4; ++i) {
-      fixture.Send("secret", [&answered](const ClientReply& aReply) {
-        answered += aReply.mStatus == 200 ? 1 : 0;
-      });
+      fixture.Send(
+        [&answered](const ClientReply& aReply) { answered += aReply.mStatus == 200 ? 1 : 0; });
       fixture.RunFor(milliseconds(10));
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mCalls.size());
@@ -372,6 +374,29 @@
     CPPUNIT_ASSERT_EQUAL(3U, fixture.mCalls.back().mDemands.front().mWanted);
     CPPUNIT_ASSERT_EQUAL(4, answered);
   }
+
+  void DeadlineEndsTheWait()
+  {
+    QuotaFixture fixture;
+    fixture.mOwner = nullptr;
+    const TimePoint start = SteadyNow();
+    const ClientReply reply = fixture.Get({ { "X-Left", "100" } });
+    CPPUNIT_ASSERT_EQUAL(503, reply.mStatus);
+    CPPUNIT_ASSERT(RetryAfter(reply) > 0);
+    CPPUNIT_ASSERT(SteadyNow() - start < kQuotaCallTimeout);
+    fixture.mRelay.OnQuotaReply(1, GrantAll(fixture.mCalls.front()));
+    fixture.RunFor(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mRuns);
+  }
+
+  void RequestThatWasPassedOnTakesItsTokenHere()
+  {
+    QuotaFixture fixture;
+    fixture.mOwner = [](const QuotaCall& aCall) { return Reply(aCall, 0, milliseconds(400)); };
+    CPPUNIT_ASSERT_EQUAL(429, fixture.Get({ { "apricot-passed-on", "1" } }).mStatus);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, fixture.mCalls.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, fixture.mRuns);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayQuotaTest);
