Keep a pre-vote that the wait after a start made a member ignore

Cause: the waits of members that start together end at slightly different times; a candidate whose first pre-vote came too early repeated it only after 0.04 to 0.08 election timeouts. Change: the last ignored pre-vote is handled when the wait ends early. A test for a leader that removed itself guards the record of the leader; the one for the promise to the next leader no longer uses the time that it checks.

--- a/src/raft.cpp
+++ b/src/raft.cpp
@@ -631,6 +631,9 @@
   }
 }
 
+void
+OnPreVote(Raft& aRaft, const RaftMessage& aMessage, TimePoint aNow);
+
 // Asks the voters that have not answered yet, and ends the wait once there is none.
 void
 PollAtStart(Raft& aRaft, TimePoint aNow)
@@ -647,6 +650,9 @@
   }
   if (complete) {
     EndStartWait(aRaft, aNow);
+    if (const auto ignored = std::exchange(aRaft.mStart.mIgnoredPreVote, std::nullopt)) {
+      OnPreVote(aRaft, *ignored, aNow);
+    }
   }
 }
 
@@ -688,6 +694,9 @@
     return;
   }
   if (MustIgnoreVoteRequests(aRaft, aNow)) {
+    if (IsStarting(aRaft, aNow)) {
+      aRaft.mStart.mIgnoredPreVote = aMessage;
+    }
     return;
   }
   const bool granted =
--- a/src/raft.h
+++ b/src/raft.h
@@ -237,6 +237,9 @@
   // When each voter was asked last.
   std::map<std::string, TimePoint> mAskedAt;
   std::map<std::string, StartAnswer> mAnswers;
+  // The last pre-vote that the wait made this member ignore. It is handled when the wait ends
+  // early, since the members' waits end at slightly different times.
+  std::optional<RaftMessage> mIgnoredPreVote;
 };
 
 struct Raft
--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -195,6 +195,7 @@
   CPPUNIT_TEST(LateMemberDelaysElectionOnlyUntilItsStart);
   CPPUNIT_TEST(MissingVoterKeepsWait);
   CPPUNIT_TEST(CutOffLeaderKeepsLeaseWhileOthersRestart);
+  CPPUNIT_TEST(LeaderThatRemovesItselfKeepsLeaseWhileOthersRestart);
   CPPUNIT_TEST(AnswersToEarlierProcessDoNotCount);
   CPPUNIT_TEST(MembersThatHeardLeaderDoNotAnswer);
   CPPUNIT_TEST(EveryMemberRecordsItsLeader);
@@ -623,6 +624,32 @@
     }
   }
 
+  // The leader is in no list of the others, so that the answers of all voters do not prove that its
+  // lease has ended. Only the record of the leader keeps them waiting.
+  void LeaderThatRemovesItselfKeepsLeaseWhileOthersRestart()
+  {
+    TestNetwork net(4);
+    const std::string old = net.ElectedLeader();
+    std::vector<std::string> others = net.Ids();
+    std::erase(others, old);
+    for (const std::string& other : others) {
+      net.mBlockedLinks.insert({ other, old });
+    }
+    CPPUNIT_ASSERT(RaftRemove(net[old], old, net.mNow).has_value());
+    net.Run(milliseconds(10));
+    for (const std::string& other : others) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, RaftMembers(net[other]).size());
+      net.mBlockedLinks.insert({ old, other });
+    }
+    net.Restart(others);
+    CPPUNIT_ASSERT_EQUAL(old, net.Leader());
+    for (int i = 0; i < 200; ++i) {
+      net.Run(milliseconds(10));
+      CPPUNIT_ASSERT(net.LeadingMembers() <= 1);
+    }
+    CPPUNIT_ASSERT(net.Leader() != old && net.LeadingMembers() == 1);
+  }
+
   // The member may have acknowledged a leader between the answer and its restart.
   void AnswersToEarlierProcessDoNotCount()
   {
@@ -730,10 +757,10 @@
     vote.mTerm = net[member].mVoteState.mTerm + 1;
     vote.mIndex = 1000;
     vote.mLogTerm = vote.mTerm;
-    const TimePoint bound = net[member].mLastLeaderContact + seconds(1);
-    RaftReceive(net[member], vote, bound - milliseconds(1));
+    // The last heartbeat was received at most 200 ms ago.
+    RaftReceive(net[member], vote, net.mNow + milliseconds(790));
     CPPUNIT_ASSERT_EQUAL(vote.mTerm - 1, net[member].mVoteState.mTerm);
-    RaftReceive(net[member], vote, bound);
+    RaftReceive(net[member], vote, net.mNow + seconds(1));
     CPPUNIT_ASSERT_EQUAL(vote.mTerm, net[member].mVoteState.mTerm);
   }
 
