Report where service was lost with apricotctl account

Change: service_account counts refused, failed, partial and late requests of gateway logs by cause, route, data centre, workspace and second; apricotctl account FILE... prints them as tables or JSON. A gateway's ProcessStarted line now names its data centre.

--- a/src/ctl_commands.cpp
+++ b/src/ctl_commands.cpp
@@ -5,6 +5,7 @@
 #include "control_state.h"
 #include "ctl_explain.h"
 #include "loop.h"
+#include "service_account.h"
 #include "tables.h"
 
 #include <algorithm>
@@ -732,6 +733,32 @@
   return kExitOk;
 }
 
+int
+PrintAccount(const CtlOptions& aOptions, const Strings& aArguments)
+{
+  std::vector<Loss> losses;
+  for (std::size_t i = 1; i < aArguments.size(); ++i) {
+    const auto text = ReadFile(aArguments[i], kMaxLogFileBytes);
+    if (!text) {
+      PrintError(text.error().mMessage, "", "");
+      return kExitFailure;
+    }
+    std::vector<LogLine> log;
+    std::istringstream stream(*text);
+    for (std::string line; std::getline(stream, line);) {
+      log.push_back(ParseLogLine(line));
+    }
+    const std::vector<Loss> found = FindLosses(log);
+    losses.insert(losses.end(), found.begin(), found.end());
+  }
+  if (aOptions.mJson) {
+    fmt::print("{}\n", FormatAccountJson(losses));
+  } else {
+    fmt::print("{}", FormatAccount(losses, aOptions.mLimit));
+  }
+  return kExitOk;
+}
+
 int
 PrintDocs(const CtlOptions& /*aOptions*/, const Strings& aArguments)
 {
@@ -742,7 +769,7 @@
 struct Command
 {
   // The words of the command. Words in upper case stand for arguments, which are optional in
-  // brackets.
+  // brackets. A last word that ends with "..." stands for one or more arguments.
   std::string_view mPattern;
   std::string_view mHelp;
   bool mNeedsControlHost = true;
@@ -783,6 +810,10 @@
     "history of one request from logs (--log FILE, repeatable)",
     false,
     ExplainHistory },
+  { "account FILE...",
+    "where service was lost, from gateway logs (--limit --json)",
+    false,
+    PrintAccount },
   { "docs results", "print the page of result codes", false, PrintDocs },
   { "docs events", "print the page of log events", false, PrintDocs },
 };
@@ -801,6 +832,9 @@
     if (!argument && aArguments[index] != word) {
       return false;
     }
+    if (word.ends_with("...")) {
+      return true;
+    }
   }
   return index == aArguments.size();
 }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -633,7 +633,8 @@
   StartLogger("apricot-gateway", aSettings.mLogLevel);
   const auto started = gateway.Start();
   if (started) {
-    LogEvent(Event::ProcessStarted, { { "host", aSettings.mHost } });
+    LogEvent(Event::ProcessStarted,
+             { { "host", aSettings.mHost }, { "data_centre", aSettings.mDataCentre } });
     ReportSuspensions(loop);
     loop.Run();
     LogEvent(Event::ProcessStopped, { { "host", aSettings.mHost } });
