--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -34,6 +34,8 @@
   std::map<std::string, std::vector<ReadResult>> mReads;
   std::string mUnsyncedMember;
   std::vector<RaftMessage> mHeldBack;
+  // Member of the previous build, which neither reads nor sends process numbers.
+  std::string mPreviousBuild;
   // Number of processes of each member so far. Every process draws another seed.
   std::map<std::string, std::uint64_t> mProcesses;
 
@@ -122,7 +124,11 @@
         for (const RaftMessage& message : output.mMessages) {
           const auto target = mMembers.find(message.mTo);
           if (target != mMembers.end() && !mBlockedLinks.contains({ id, message.mTo })) {
-            RaftReceive(target->second, message, mNow);
+            RaftMessage received = message;
+            if (id == mPreviousBuild || message.mTo == mPreviousBuild) {
+              received.mProcess = 0;
+            }
+            RaftReceive(target->second, received, mNow);
           }
         }
       }
@@ -196,6 +202,7 @@
   CPPUNIT_TEST(MissingVoterKeepsWait);
   CPPUNIT_TEST(CutOffLeaderKeepsLeaseWhileOthersRestart);
   CPPUNIT_TEST(LeaderThatRemovesItselfKeepsLeaseWhileOthersRestart);
+  CPPUNIT_TEST(MemberOfPreviousBuildKeepsWait);
   CPPUNIT_TEST(AnswersToEarlierProcessDoNotCount);
   CPPUNIT_TEST(MembersThatHeardLeaderDoNotAnswer);
   CPPUNIT_TEST(EveryMemberRecordsItsLeader);
@@ -624,6 +631,21 @@
     }
   }
 
+  // The previous build takes a question for a pre-vote and does not answer it.
+  void MemberOfPreviousBuildKeepsWait()
+  {
+    TestNetwork net(3);
+    net.ElectedLeader();
+    net.mPreviousBuild = "b";
+    net.Restart(net.Ids());
+    for (int i = 0; i < 99; ++i) {
+      net.Run(milliseconds(10));
+      CPPUNIT_ASSERT_EQUAL(0, net.LeadingMembers());
+    }
+    net.Run(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(1, net.LeadingMembers());
+  }
+
   // The leader is in no list of the others, so that the answers of all voters do not prove that its
   // lease has ended. Only the record of the leader keeps them waiting.
   void LeaderThatRemovesItselfKeepsLeaseWhileOthersRestart()
