--- a/tests/test_evacuation.cpp
+++ b/tests/test_evacuation.cpp
@@ -7,12 +7,17 @@
 #include "document_state.h"
 #include "fleet.grpc.pb.h"
 #include "fleet_messages.h"
+#include "gateway_process.h"
 #include "http_client.h"
 #include "process_protocol.h"
 #include "replica_signals.h"
 #include "settings.h"
+#include "test_address.h"
 
+#include <algorithm>
 #include <cstring>
+#include <filesystem>
+#include <map>
 #include <optional>
 #include <thread>
 
@@ -64,9 +69,9 @@
   // Both a command and a snapshot. Returns whether it could be read.
   bool Take(std::string_view aData)
   {
-    auto document = Decode(aData);
+    const auto document = Decode(aData);
     if (document && document->mVersion > mDocument.mVersion) {
-      mDocument = *std::move(document);
+      mDocument = *document;
       mEncoded = aData;
     }
     return document.has_value();
@@ -224,6 +229,164 @@
   return most;
 }
 
+// Three coordinators and two gateways as processes, and two replicas of one service in this one,
+// one of them in the data centre b. Requests arrive all the time.
+class EvacuatedFleet
+{
+public:
+  EvacuatedFleet()
+    : mFolder(std::filesystem::temp_directory_path() / ("apricot-evacuation-" + TestIp(1)))
+    , mCoordinators(kFirstCoordinator, kMembers, 1)
+  {
+    std::filesystem::create_directories(mFolder);
+    for (const std::string dataCentre : { "a", "b" }) {
+      const SocketAddress address{ TestIp(kReplicaHost),
+                                   static_cast<std::uint16_t>(kFirstPort + mServers.size()) };
+      auto server = HttpServer::Builder(mLoop, address)
+                      .PreserveRawRequest()
+                      .OnRequest([this, dataCentre](const HttpRequest& aRequest,
+                                                    const HttpResponder& aRespond) {
+                        mRuns[dataCentre].push_back(SteadyNow());
+                        aRespond({ 200,
+                                   "",
+                                   "text/plain",
+                                   { { "X-Id", std::string(aRequest.Header("x-id")) },
+                                     { "X-Signature", "s" } } });
+                      })
+                      .Start();
+      CPPUNIT_ASSERT_MESSAGE(server ? "" : server.error().mMessage, server.has_value());
+      mServers.push_back(*std::move(server));
+      Every(milliseconds(400), [this, dataCentre, address] { Announce(dataCentre, address); });
+    }
+    StartGateways();
+    Every(milliseconds(5), [this] { SendRequest(); });
+  }
+  ~EvacuatedFleet() { std::filesystem::remove_all(mFolder); }
+  EvacuatedFleet(const EvacuatedFleet&) = delete;
+  EvacuatedFleet& operator=(const EvacuatedFleet&) = delete;
+
+  // Sends a call to all coordinators, one after the other, until one of them acknowledges it.
+  void CallUntilAcknowledged(const std::string& aMethod,
+                             const std::string& aPath,
+                             const std::string& aBody = "")
+  {
+    bool acknowledged = false;
+    const TimePoint end = SteadyNow() + seconds(30);
+    for (int i = 0; !acknowledged && SteadyNow() < end; ++i) {
+      ClientRequest request;
+      request.mMethod = aMethod;
+      request.mAddress = mCoordinators.ControlAddress(i % kMembers);
+      request.mPath = aPath;
+      request.mBody = aBody;
+      mClient.Send(std::move(request), [&](const ClientReply& aReply) {
+        acknowledged = aReply.mEnd == TransferEnd::Complete && aReply.mStatus == 200;
+        mLoop.Stop();
+      });
+      mLoop.Run();
+      RunFor(milliseconds(20));
+    }
+    CPPUNIT_ASSERT(acknowledged);
+  }
+
+  // Whether the replica of the data centre runs requests within the time.
+  bool IsServedWithin(const std::string& aDataCentre, Duration aTime)
+  {
+    const TimePoint start = SteadyNow();
+    while (RunsSince(aDataCentre, start) == 0 && SteadyNow() < start + aTime) {
+      RunFor(milliseconds(50));
+    }
+    return RunsSince(aDataCentre, start) > 0;
+  }
+
+  std::size_t RunsSince(const std::string& aDataCentre, TimePoint aTime)
+  {
+    const std::vector<TimePoint>& runs = mRuns[aDataCentre];
+    return static_cast<std::size_t>(runs.end() - std::upper_bound(runs.begin(), runs.end(), aTime));
+  }
+
+  // As a power loss on all hosts of the tier.
+  void RestartAll()
+  {
+    mGateways.clear();
+    for (int member = 0; member < kMembers; ++member) {
+      mCoordinators.Kill(member);
+    }
+    for (int member = 0; member < kMembers; ++member) {
+      mCoordinators.Start(member);
+    }
+    StartGateways();
+  }
+
+  void RunFor(Duration aTime)
+  {
+    mLoop.AddTimer(SteadyNow() + aTime, [this] { mLoop.Stop(); });
+    mLoop.Run();
+  }
+
+private:
+  static constexpr int kMembers = 3;
+  static constexpr int kFirstCoordinator = 87;
+  static constexpr int kFirstGateway = 91;
+  static constexpr int kGateways = 2;
+  static constexpr int kReplicaHost = 93;
+  static constexpr std::uint16_t kFirstPort = 7940;
+
+  void StartGateways()
+  {
+    std::vector<std::string> seeds;
+    for (int member = 0; member < kMembers; ++member) {
+      seeds.push_back(mCoordinators.Ip(member));
+    }
+    for (int i = 0; i < kGateways; ++i) {
+      mGateways.push_back(std::make_unique<ChildProcess>(
+        GatewayArguments(TestIp(kFirstGateway + i), seeds), mFolder / fmt::format("{}.log", i)));
+    }
+  }
+
+  void Every(Duration aPause, std::function<void()> aTask)
+  {
+    mLoop.AddTimer(SteadyNow() + aPause, [this, aPause, task = std::move(aTask)] {
+      task();
+      Every(aPause, task);
+    });
+  }
+
+  void Announce(const std::string& aDataCentre, const SocketAddress& aAddress)
+  {
+    ClientRequest request;
+    request.mMethod = "PUT";
+    request.mAddress = mCoordinators.ControlAddress(static_cast<int>(++mSequence % kMembers));
+    request.mPath = fmt::format("/upstreams/u-{0}?sequence={1}&address={2}&data_centre={0}",
+                                aDataCentre,
+                                mSequence,
+                                FormatSocketAddress(aAddress));
+    mClient.Send(std::move(request), [](const ClientReply&) {});
+  }
+
+  void SendRequest()
+  {
+    ClientRequest request;
+    request.mMethod = "GET";
+    request.mAddress = { TestIp(kFirstGateway + static_cast<int>(++mRequests % kGateways)),
+                         kCallerPort };
+    request.mPath = "/";
+    request.mForwarded = true;
+    request.mHeaders = { { "Host", "h" }, { "X-Id", fmt::format("r-{}", mRequests) } };
+    mClient.Send(std::move(request), [](const ClientReply&) {});
+  }
+
+  const std::filesystem::path mFolder;
+  CoordinatorGroup mCoordinators;
+  std::vector<std::unique_ptr<ChildProcess>> mGateways;
+  Loop mLoop;
+  HttpClient mClient{ mLoop, "", 0 };
+  std::vector<std::unique_ptr<HttpServer>> mServers;
+  // When the replica of each data centre began to run requests.
+  std::map<std::string, std::vector<TimePoint>> mRuns;
+  std::uint64_t mSequence = 0;
+  std::uint64_t mRequests = 0;
+};
+
 } // namespace
 
 class EvacuationTest : public CppUnit::TestFixture
@@ -242,6 +405,7 @@
   CPPUNIT_TEST(GatewayHeedsOrdersThatMayBeAcknowledged);
   CPPUNIT_TEST(ReplyOfThePreviousBuildChangesNothing);
   CPPUNIT_TEST(AcknowledgedOrderSurvivesRestartOfAllCoordinators);
+  CPPUNIT_TEST(NoRequestReachesAnEvacuatedReplica);
   CPPUNIT_TEST(AcknowledgedOrderSurvivesReplacementOfTheLeader);
   CPPUNIT_TEST(MemberWithoutLeaderRefusesOrders);
   CPPUNIT_TEST(WarmupTravelsWithRecords);
@@ -482,6 +646,27 @@
     }));
   }
 
+  // With processes of all kinds: gateways learn of the order in time, and again after a power loss.
+  // The replica goes on announcing itself.
+  void NoRequestReachesAnEvacuatedReplica()
+  {
+    constexpr Duration kTimeToEvacuate = seconds(5);
+    EvacuatedFleet fleet;
+    fleet.CallUntilAcknowledged("PUT", "/document", "1 one s");
+    // Most requests stay in the data centre a of the gateways.
+    CPPUNIT_ASSERT(fleet.IsServedWithin("a", seconds(30)));
+    fleet.CallUntilAcknowledged("POST", "/evacuated/a");
+    const TimePoint evacuatedAt = SteadyNow();
+    CPPUNIT_ASSERT(fleet.IsServedWithin("b", seconds(10)));
+    fleet.RunFor(evacuatedAt + kTimeToEvacuate - SteadyNow());
+    fleet.RestartAll();
+    CPPUNIT_ASSERT(fleet.IsServedWithin("b", seconds(30)));
+    fleet.RunFor(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), fleet.RunsSince("a", evacuatedAt + kTimeToEvacuate));
+    fleet.CallUntilAcknowledged("DELETE", "/evacuated/a");
+    CPPUNIT_ASSERT(fleet.IsServedWithin("a", seconds(30)));
+  }
+
   void AcknowledgedOrderSurvivesReplacementOfTheLeader()
   {
     constexpr int kMembers = 3;
