Share what replicas can take among workspaces in a fair queue

Cause: the queue of a service ordered requests by due time and priority alone. A caller that sent too much, or repeated at once, took the places of all others; a flood of urgent requests left no places for less urgent ones; requests were queued although they could not be served in time.

Change: src/fair_queue replaces src/wait_queue.h: priority, then start-time fair queueing between workspaces, a bounded length in which the longest backlog loses its newest request, a reserved share for less urgent requests, and refusal by the measured rate of departures, from which Retry-After follows. The share and the rate are common with src/admission (urgency_share, drain_rate). New requests no longer overtake queued ones of the same service. Workspaces are empty until callers are identified; MakeQueuedRequest sets them.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr double kIntervalSmoothing = 0.1;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(10);
 
@@ -58,41 +57,6 @@
   return query;
 }
 
-// Returns the class to serve next, or null if nothing waits. Adds credit for one dispatch to each
-// waiting class other than the most urgent one.
-ClassQueue*
-ChooseClass(AdmissionQueue& aQueue)
-{
-  ClassQueue* mostUrgent = nullptr;
-  double weights = 0;
-  for (auto& [name, candidate] : aQueue.mClasses) {
-    if (candidate.mSize > 0) {
-      weights += candidate.mWeight;
-      if (mostUrgent == nullptr || candidate.mUrgency < mostUrgent->mUrgency) {
-        mostUrgent = &candidate;
-      }
-    }
-  }
-  if (mostUrgent == nullptr) {
-    return nullptr;
-  }
-  weights -= mostUrgent->mWeight;
-  ClassQueue* chosen = mostUrgent;
-  for (auto& [name, candidate] : aQueue.mClasses) {
-    if (candidate.mSize == 0 || &candidate == mostUrgent) {
-      continue;
-    }
-    candidate.mCredit += kLessUrgentShare * candidate.mWeight / weights;
-    if (candidate.mCredit >= 1 && (chosen == mostUrgent || candidate.mCredit > chosen->mCredit)) {
-      chosen = &candidate;
-    }
-  }
-  if (chosen != mostUrgent) {
-    chosen->mCredit -= 1;
-  }
-  return chosen;
-}
-
 } // namespace
 
 EnqueueResult
@@ -128,7 +92,7 @@
 std::optional<QueryId>
 Dequeue(AdmissionQueue& aQueue, TimePoint aNow)
 {
-  ClassQueue* const chosen = ChooseClass(aQueue);
+  ClassQueue* const chosen = ChooseByUrgency(aQueue.mClasses);
   if (chosen == nullptr) {
     return std::nullopt;
   }
@@ -137,11 +101,7 @@
   chosen->mCallerOrder.pop_front();
   chosen->mCallerOrder.push_back(caller);
   RemoveAt(aQueue, *chosen, caller, 0);
-  const auto interval = static_cast<double>((aNow - aQueue.mLastDispatch).count());
-  if (aQueue.mLastDispatch != TimePoint()) {
-    aQueue.mIntervalUs += kIntervalSmoothing * (interval - aQueue.mIntervalUs);
-  }
-  aQueue.mLastDispatch = aNow;
+  RecordDeparture(aQueue.mRate, aNow);
   return query;
 }
 
@@ -171,8 +131,7 @@
 Duration
 RetryAfter(const AdmissionQueue& aQueue)
 {
-  const auto wait =
-    Duration(static_cast<Duration::rep>(aQueue.mIntervalUs * static_cast<double>(aQueue.mSize)));
+  const Duration wait = DrainTime(aQueue.mRate, aQueue.mSize);
   return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -8,6 +8,8 @@
 #define APRICOTYARD_ADMISSION_H
 
 #include "config.h"
+#include "drain_rate.h"
+#include "urgency_share.h"
 
 #include <deque>
 #include <optional>
@@ -16,9 +18,6 @@
 
 namespace apricotyard {
 
-// Share of the dispatches reserved for less urgent classes while more urgent queries wait.
-inline constexpr double kLessUrgentShare = 0.2;
-
 struct ClassQueue
 {
   std::uint32_t mUrgency = 1;
@@ -38,9 +37,8 @@
 {
   std::map<std::string, ClassQueue> mClasses;
   std::size_t mSize = 0;
-  // Smoothed interval between dispatches from the queue, in microseconds; the basis of RetryAfter.
-  double mIntervalUs = 0;
-  TimePoint mLastDispatch;
+  // Of the dispatches; the basis of RetryAfter.
+  DrainRate mRate;
 };
 
 enum class EnqueueOutcome : std::uint8_t
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -286,10 +286,11 @@
   const bool servable = SelectSubrequests(relayed);
   if (!servable && (!mReachability.mCutOff || IsAnyStopped(relayed))) {
     ProveReplicas(relayed);
-    Finish(aRelayed,
-           IsAnyStopped(relayed)
-             ? MakeStoppedRefusal(relayed)
-             : MakeRefusal(Result::NoReplica, "too few replicas can take the request"));
+    Finish(
+      aRelayed,
+      IsAnyStopped(relayed)
+        ? MakeStoppedRefusal(relayed)
+        : MakeRefusal(Result::NoReplica, "too few replicas can take the request", RoomIn(relayed)));
     return;
   }
   relayed.mRespond.OnCallerDisconnected([this, weak = std::weak_ptr<RelayedRequest>(aRelayed)] {
@@ -343,7 +344,7 @@
     aRelayed.mSubrequests.end(),
     [this, &aRelayed](const RelaySubrequest& aSubrequest) {
       const auto service = mServices.find(aSubrequest.mService);
-      return service != mServices.end() && service->second.mWaitQueue.Size() < kMaxQueuedRequests &&
+      return service != mServices.end() && IsAccepted(aRelayed, service->second) &&
              !WouldWaitTooLong(aRelayed, service->second) && !IsStopped(aRelayed, aSubrequest) &&
              std::any_of(service->second.mReplicas.begin(),
                          service->second.mReplicas.end(),
--- a/src/relay_responses.cpp
+++ b/src/relay_responses.cpp
@@ -13,6 +13,10 @@
 // same time.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(150);
 constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(450);
+// If queues have no room for longer, the range begins when they will, at most after this time, and
+// ends at this multiple of its beginning.
+constexpr Duration kMaxRoomWait = std::chrono::seconds(5);
+constexpr double kRetrySpread = 1.5;
 
 } // namespace
 
@@ -87,7 +91,7 @@
     return MakeStoppedRefusal(aRelayed);
   }
   if (!mayHaveRun) {
-    return MakeRefusal(Result::NoReplica, "no replica took the request");
+    return MakeRefusal(Result::NoReplica, "no replica took the request", RoomIn(aRelayed));
   }
   return aRelayed.mDeadlinePassed
            ? ErrorResponse(Result::RelayTimeout, "no replica answered in time")
@@ -95,15 +99,30 @@
 }
 
 HttpResponse
-Relay::State::MakeRefusal(Result aResult, std::string_view aMessage)
+Relay::State::MakeRefusal(Result aResult, std::string_view aMessage, Duration aRoomIn)
 {
   HttpResponse response = ErrorResponse(aResult, aMessage);
-  std::uniform_int_distribution<std::int64_t> delay(kMinRetryAfter.count(), kMaxRetryAfter.count());
+  const Duration earliest = std::clamp(aRoomIn, kMinRetryAfter, kMaxRoomWait);
+  const Duration latest =
+    std::max(kMaxRetryAfter, std::chrono::duration_cast<Duration>(earliest * kRetrySpread));
+  std::uniform_int_distribution<std::int64_t> delay(earliest.count(), latest.count());
   const std::chrono::duration<double> seconds = Duration(delay(mRng));
   response.mHeaders.push_back({ "Retry-After", fmt::format("{:.2f}", seconds.count()) });
   return response;
 }
 
+Duration
+Relay::State::RoomIn(const RelayedRequest& aRelayed) const
+{
+  Duration longest{};
+  for (const RelaySubrequest& subrequest : aRelayed.mSubrequests) {
+    if (const auto service = mServices.find(subrequest.mService); service != mServices.end()) {
+      longest = std::max(longest, TimeUntilRoom(service->second.mQueue));
+    }
+  }
+  return longest;
+}
+
 // Names the time for which equal requests stay stopped, because earlier ones would be refused as
 // well. If another attempt decides first whether the request is the cause, that time is short.
 HttpResponse
--- a/src/relay_send.cpp
+++ b/src/relay_send.cpp
@@ -202,11 +202,20 @@
 Relay::State::SendFirstAttempts(const std::shared_ptr<RelayedRequest>& aRelayed)
 {
   std::vector<std::pair<std::size_t, ReplicaView*>> localSends;
+  std::vector<std::string> queuedBehind;
   const TimePoint now = SteadyNow();
   for (std::size_t i = 0; i < aRelayed->mSubrequests.size(); ++i) {
-    ReplicaView* const replica = SelectReplica(*aRelayed, aRelayed->mSubrequests[i], now);
+    const std::string& name = aRelayed->mSubrequests[i].mService;
+    const auto service = mServices.find(name);
+    // A new request must not overtake those that wait.
+    const bool behind = service != mServices.end() && service->second.mQueue.mSize > 0;
+    ReplicaView* const replica =
+      behind ? nullptr : SelectReplica(*aRelayed, aRelayed->mSubrequests[i], now);
     if (replica == nullptr) {
       aRelayed->mSubrequests[i].mFailed = !Enqueue(aRelayed, i);
+      if (behind) {
+        queuedBehind.push_back(name);
+      }
     } else if (replica->mInfo.mDataCentre == mLimits.mDataCentre) {
       localSends.emplace_back(i, replica);
     } else {
@@ -216,6 +225,9 @@
   for (const auto& [index, replica] : localSends) {
     StartAttempt(aRelayed, index, *replica);
   }
+  for (const std::string& name : queuedBehind) {
+    SendQueued(name);
+  }
 }
 
 bool
@@ -290,7 +302,7 @@
 Relay::State::WouldWaitTooLong(const RelayedRequest& aRelayed, const RelayService& aService) const
 {
   const TimePoint now = SteadyNow();
-  const TimePoint allowedAt = TakesRequestAt(aService.mReplicas, aService.mWaitQueue.Size(), now);
+  const TimePoint allowedAt = TakesRequestAt(aService.mReplicas, aService.mQueue.mSize, now);
   if (allowedAt <= now) {
     return false;
   }
@@ -308,7 +320,7 @@
   RelayService& service = mServices[aService];
   const TimePoint now = SteadyNow();
   const TimePoint allowedAt = TakesRequestAt(service.mReplicas, 0, now);
-  if (service.mQueueTimer == 0 && allowedAt > now && service.mWaitQueue.Size() > 0) {
+  if (service.mQueueTimer == 0 && allowedAt > now && service.mQueue.mSize > 0) {
     service.mQueueTimer = mLoop.AddTimer(allowedAt, [this, aService] {
       mServices[aService].mQueueTimer = 0;
       SendQueued(aService);
@@ -359,39 +371,86 @@
       WouldWaitTooLong(*aRelayed, mServices[service])) {
     return false;
   }
-  WaitQueue<WaitingSubrequest>& queue = mServices[service].mWaitQueue;
-  queue.RemoveIf([](const WaitingSubrequest& aWaiting) {
-    const auto owner = aWaiting.mOwner.lock();
-    return owner == nullptr || owner->mFinished;
+  RelayService& target = mServices[service];
+  RemoveIf(target.mQueue, [&target](QueueTicket aTicket) {
+    const auto waiting = target.mWaiting.find(aTicket);
+    const auto owner = waiting->second.mOwner.lock();
+    if (owner != nullptr && !owner->mFinished) {
+      return false;
+    }
+    target.mWaiting.erase(waiting);
+    return true;
   });
-  const bool queued =
-    queue.Push({ aRelayed, aIndex }, aRelayed->mObjectiveAt, aRelayed->mRoute->mPriority);
+  QueuedRequest request = MakeQueuedRequest(*aRelayed);
+  request.mTicket = mNextTicket++;
+  const QueueTicket ticket = request.mTicket;
+  const PushResult result = Push(target.mQueue, std::move(request), SteadyNow());
+  if (result.mOutcome != PushOutcome::Queued) {
+    return false;
+  }
+  target.mWaiting[ticket] = { aRelayed, aIndex };
   ScheduleQueuedSend(service);
-  return queued;
+  if (result.mDisplaced) {
+    const WaitingSubrequest displaced = target.mWaiting.extract(*result.mDisplaced).mapped();
+    if (const auto owner = displaced.mOwner.lock()) {
+      owner->mSubrequests[displaced.mSubrequestIndex].mFailed = true;
+      FinishIfDecided(owner);
+    }
+  }
+  return true;
+}
+
+QueuedRequest
+Relay::State::MakeQueuedRequest(const RelayedRequest& aRelayed) const
+{
+  QueuedRequest request;
+  request.mPriority = { 0, aRelayed.mRoute->mPriority };
+  const auto latencies = mRouteLatencies.find(aRelayed.mRoute->mName);
+  request.mServeBy = aRelayed.mDeadline;
+  if (latencies != mRouteLatencies.end()) {
+    request.mServeBy -= std::chrono::duration_cast<Duration>(
+      kServeMargin * TypicalLatency(latencies->second.mAll, aRelayed.mRoute->mObjective));
+  }
+  return request;
+}
+
+bool
+Relay::State::IsAccepted(const RelayedRequest& aRelayed, const RelayService& aService) const
+{
+  return aService.mQueue.mSize == 0 ||
+         Accepts(aService.mQueue, MakeQueuedRequest(aRelayed), SteadyNow());
 }
 
 void
 Relay::State::SendQueued(const std::string& aService)
 {
-  WaitQueue<WaitingSubrequest>& queue = mServices[aService].mWaitQueue;
-  while (auto waiting = queue.Pop()) {
-    const auto owner = waiting->mOwner.lock();
+  RelayService& service = mServices[aService];
+  while (auto request = Pop(service.mQueue)) {
+    const WaitingSubrequest waiting = service.mWaiting.extract(request->mTicket).mapped();
+    const auto owner = waiting.mOwner.lock();
     if (owner == nullptr || owner->mFinished || owner->mPeerTransfer != 0) {
       continue;
     }
-    if (SendToNextReplica(owner, waiting->mSubrequestIndex)) {
+    // It could no longer be answered in time, and others can.
+    if (request->mServeBy < SteadyNow()) {
+      owner->mSubrequests[waiting.mSubrequestIndex].mFailed = true;
+      FinishIfDecided(owner);
+      continue;
+    }
+    if (SendToNextReplica(owner, waiting.mSubrequestIndex)) {
+      RecordPopped(service.mQueue, SteadyNow());
       continue;
     }
-    const std::vector<ReplicaView*>& replicas = mServices[aService].mReplicas;
-    if (IsStopped(*owner, owner->mSubrequests[waiting->mSubrequestIndex]) ||
-        std::none_of(replicas.begin(), replicas.end(), [](const ReplicaView* aReplica) {
-          return IsUsable(*aReplica);
-        })) {
-      owner->mSubrequests[waiting->mSubrequestIndex].mFailed = true;
+    if (IsStopped(*owner, owner->mSubrequests[waiting.mSubrequestIndex]) ||
+        std::none_of(service.mReplicas.begin(),
+                     service.mReplicas.end(),
+                     [](const ReplicaView* aReplica) { return IsUsable(*aReplica); })) {
+      owner->mSubrequests[waiting.mSubrequestIndex].mFailed = true;
       FinishIfDecided(owner);
       continue;
     }
-    queue.Push(std::move(*waiting), owner->mObjectiveAt, owner->mRoute->mPriority);
+    service.mWaiting[request->mTicket] = waiting;
+    Restore(service.mQueue, std::move(*request));
     ScheduleQueuedSend(aService);
     return;
   }
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -10,6 +10,7 @@
 #define APRICOTYARD_RELAY_STATE_H
 
 #include "crash_ledger.h"
+#include "fair_queue.h"
 #include "locality.h"
 #include "log.h"
 #include "reachability.h"
@@ -17,7 +18,6 @@
 #include "relay_metrics.h"
 #include "relay_policy.h"
 #include "replica_signals.h"
-#include "wait_queue.h"
 
 #include <algorithm>
 #include <set>
@@ -138,7 +138,9 @@
 {
   std::vector<ReplicaView*> mReplicas;
   ExtraBudget mBudget;
-  WaitQueue<WaitingSubrequest> mWaitQueue;
+  FairQueue mQueue;
+  // The sub-requests in mQueue.
+  std::unordered_map<QueueTicket, WaitingSubrequest> mWaiting;
   // Runs while queued sub-requests wait until a replica wants one.
   TimerId mQueueTimer = 0;
   ServiceLocality mLocality;
@@ -223,8 +225,13 @@
   bool TryResend(const std::shared_ptr<RelayedRequest>& aRelayed,
                  std::size_t aIndex,
                  ExtraSend aKind);
-  // Queues a sub-request until a replica can take it. False if the queue is full.
+  // The entry of a sub-request in the queue of its service, without a ticket.
+  QueuedRequest MakeQueuedRequest(const RelayedRequest& aRelayed) const;
+  // Queues a sub-request until a replica can take it. False if the queue is full, or it would leave
+  // the queue too late.
   bool Enqueue(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
+  // Whether the queue of the service would take a sub-request of the request.
+  bool IsAccepted(const RelayedRequest& aRelayed, const RelayService& aService) const;
   // Sends queued sub-requests of the service while replicas can take them. Without any replica that
   // may take them later, they fail.
   void SendQueued(const std::string& aService);
@@ -289,7 +296,12 @@
   HttpResponse MakeForwardedResponse(const RelaySubrequest& aSubrequest) const;
   HttpResponse MakeMergedResponse(const RelayedRequest& aRelayed) const;
   HttpResponse MakeFailureResponse(const RelayedRequest& aRelayed);
-  HttpResponse MakeRefusal(Result aResult, std::string_view aMessage);
+  // aRoomIn is the time after which there will be room, zero if it is not known.
+  HttpResponse MakeRefusal(Result aResult,
+                           std::string_view aMessage,
+                           Duration aRoomIn = Duration::zero());
+  // Time until the queues of all services that the request needs have room.
+  Duration RoomIn(const RelayedRequest& aRelayed) const;
   HttpResponse MakeStoppedRefusal(const RelayedRequest& aRelayed);
   void Finish(const std::shared_ptr<RelayedRequest>& aRelayed, HttpResponse aResponse);
   void ReportAnswer(const RelayedRequest& aRelayed, const HttpResponse& aResponse);
@@ -320,6 +332,7 @@
   std::map<std::string, RouteLatencies> mRouteLatencies;
   std::unordered_map<AttemptId, RelayAttempt> mAttempts;
   AttemptId mNextAttemptId = 1;
+  QueueTicket mNextTicket = 1;
   std::size_t mGatewayCount = 1;
   // Data centres that have replicas, at least 1.
   std::size_t mDataCentreCount = 1;
