--- a/src/drain_rate.cpp
+++ b/src/drain_rate.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-// Weight of a new interval; averages over about ten departures. The first ones are averaged in full.
+// Weight of a new interval; averages over about ten departures. The first ones are averaged in
+// full.
 constexpr double kIntervalSmoothing = 0.1;
 
 } // namespace
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -2,6 +2,7 @@
 // that run twice, refusals of requests that may have run, and work for callers that have
 // disconnected.
 #include "crashing_server.h"
+#include "locality.h"
 #include "log.h"
 #include "process_protocol.h"
 #include "reachability.h"
@@ -378,6 +379,7 @@
   CPPUNIT_TEST(StoppingRelayClosesCallerConnections);
   CPPUNIT_TEST(OpensConnectionsBeforeFirstRequest);
   CPPUNIT_TEST(AbortAnswersQueuedRequests);
+  CPPUNIT_TEST(LeavesWithoutLocalReplicaAndReturns);
   CPPUNIT_TEST(InactiveRelayOpensNoConnections);
   CPPUNIT_TEST(ReplicaGetsNoMoreRequestsThanItsLimit);
   CPPUNIT_TEST(ReplicaWithoutLimitTakesTheRest);
@@ -744,6 +746,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), pending.size());
   }
 
+  // Requests to a service without a replica in this data centre all leave, to one other data
+  // centre, and the local replica gets requests again once it is ready.
+  void LeavesWithoutLocalReplicaAndReturns()
+  {
+    RelayFixture fixture;
+    FakeReplica& local = fixture.AddReplica("s", RespondWith(200, "", "s1"));
+    fixture.AddReplica("s", RespondWith(200, "", "s1")).mInfo.mDataCentre = "b";
+    local.mInfo.mState = UpstreamState::Starting;
+    fixture.Publish(SingleServiceRoute(true));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    fixture.RunFor(2 * kLocalityInterval);
+    CPPUNIT_ASSERT(fixture.HasMetricLine("apricot_services_leaving 1"));
+    CPPUNIT_ASSERT(fixture.HasMetricLine(R"(apricot_leaving_share{data_centre="b"} 1)"));
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+    CPPUNIT_ASSERT(local.mReceived.empty());
+    local.mInfo.mState = UpstreamState::Ready;
+    local.mInfo.mSequence = 1;
+    fixture.Publish(SingleServiceRoute(true));
+    for (int i = 0; i < 40 && local.mReceived.empty(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Get("/").mStatus);
+      fixture.RunFor(milliseconds(200));
+    }
+    CPPUNIT_ASSERT(!local.mReceived.empty());
+  }
+
   void InactiveRelayOpensNoConnections()
   {
     RelayFixture fixture;
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -2,6 +2,7 @@
 #include "cmdline.h"
 #include "config.h"
 #include "entry_settings.h"
+#include "gateway.h"
 #include "settings.h"
 
 #include <cppunit/TestFixture.h>
@@ -33,6 +34,7 @@
   CPPUNIT_TEST(EffectiveSettingsAreValid);
   CPPUNIT_TEST(ConfigReportsDanglingReferences);
   CPPUNIT_TEST(ExamplesAreValid);
+  CPPUNIT_TEST(ReadsPriceOfTraffic);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +47,29 @@
     CPPUNIT_ASSERT(problems.empty());
   }
 
+  // A price that is not read would let requests leave as if it cost nothing.
+  void ReadsPriceOfTraffic()
+  {
+    const std::string common = "host = '127.0.0.1'\ndata_centre = 'bolu'\n"
+                               "caller_address = '127.0.0.1:80'\n"
+                               "ready_address = '127.0.0.1:81'\n"
+                               "rpc_port = 7000\nseeds = ['127.0.0.2:7000']\n"
+                               "tls.plaintext = true\n";
+    for (const auto& [text, price, valid] :
+         std::vector<std::tuple<std::string, double, bool>>{ { "", 0, true },
+                                                             { "price_per_gb = 0.02", 0.02, true },
+                                                             { "price_per_gb = 3", 3, true },
+                                                             { "price_per_gb = -1", 0, false } }) {
+      SettingsReader reader("gateway.toml", common + "[locality]\n" + text);
+      GatewaySettings settings;
+      ReadGatewaySettings(reader, settings);
+      const std::vector<SettingsProblem> problems = reader.Finish();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        problems.empty() ? "" : problems[0].mKey, valid, problems.empty());
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(price, valid ? settings.mPricePerGb : 0, 1e-9);
+    }
+  }
+
   void ReportsAllErrors()
   {
     // An unknown key, a wrong type, a value out of range, an invalid address and a missing key.
