Let requests pass by the share of a gateway while the owner of quotas is reached

Change: the ledger starts with the term; requests use the prepaid share of the gateway, which counts as use.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -189,7 +189,8 @@
   void UpdateMembership();
   void RequestToJoin();
   // Starts the ledger of a new term, and takes the limits of a new document.
-  void PrepareQuotaLedger(std::uint64_t aTerm);
+  void StartQuotaTerm();
+  void PrepareQuotaLedger();
   void EndUnknownQuotaShares();
   static std::string LeaderIp(const LogStatus& aStatus);
 
@@ -403,7 +404,10 @@
     return serving;
   }
   RestoreUpstreams();
-  mLoop.AddPeriodic(kExpireInterval, [this] { ExpireRegistry(mRegistry, SteadyNow()); });
+  mLoop.AddPeriodic(kExpireInterval, [this] {
+    ExpireRegistry(mRegistry, SteadyNow());
+    StartQuotaTerm();
+  });
   mLoop.AddPeriodic(kReadInterval, [this] {
     if (IsReadWanted(mReads, SteadyNow())) {
       ReadDocument();
@@ -633,15 +637,25 @@
   EndUnknownShares(mQuotaLedger, gateways, now);
 }
 
+// The ledger starts with the term and not with the first call, so that buckets are full by the time
+// that callers come.
 void
-Coordinator::PrepareQuotaLedger(std::uint64_t aTerm)
+Coordinator::StartQuotaTerm()
 {
-  if (mQuotaLedger.mTerm != aTerm) {
-    mQuotaLedger = StartQuotaLedger(aTerm, SteadyNow());
-    mQuotaVersion = 0;
-    LogEvent(Event::QuotaOwnerStarted,
-             { { "term", aTerm }, { "version", mState.Current().mVersion } });
+  const LogStatus status = mLog->Status();
+  if (!status.mLeading || mQuotaLedger.mTerm == status.mTerm) {
+    return;
   }
+  mQuotaLedger = StartQuotaLedger(status.mTerm, SteadyNow());
+  mQuotaVersion = 0;
+  LogEvent(Event::QuotaOwnerStarted,
+           { { "term", status.mTerm }, { "version", mState.Current().mVersion } });
+}
+
+void
+Coordinator::PrepareQuotaLedger()
+{
+  StartQuotaTerm();
   EndUnknownQuotaShares();
   if (mQuotaVersion == mState.Current().mVersion) {
     return;
@@ -678,7 +692,7 @@
                         });
     return;
   }
-  PrepareQuotaLedger(status.mTerm);
+  PrepareQuotaLedger();
   mQuotaCalls.Add();
   rpc::QuotaReply message;
   if (const auto reply = AcquireQuota(mQuotaLedger, FromMessage(aRequest), SteadyNow())) {
--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -155,7 +155,9 @@
   if (aSameTerm) {
     aBucket.mLevel -= std::min(aDemand.mUsedAlone, kMaxTokens);
     aBucket.mLevel += std::min(aDemand.mReturned, kMaxTokens);
-    aHolder.mRecent = std::max(0.0, aHolder.mRecent - aDemand.mReturned);
+    // What passed by the share is use as well; otherwise the share would shrink by its use.
+    aHolder.mRecent =
+      std::max(0.0, aHolder.mRecent - aDemand.mReturned) + std::min(aDemand.mUsedAlone, kMaxTokens);
   }
 }
 
@@ -344,7 +346,9 @@
       holder.mReserve = 1;
       ++bucket.mReserves;
     }
-    grant.mReserve = holder.mReserve;
+    // Gateways use the reserve also while they reach the owner. It is renewed only from what the
+    // bucket holds, so that a workspace over its quota gets no more by it.
+    grant.mReserve = bucket.mLevel >= 1 ? holder.mReserve : 0;
     holder.mShare = std::max(grant.mShare, std::min(heldShare, free));
     bucket.mShares += holder.mShare;
     reply.mGrants.push_back(std::move(grant));
--- a/src/quota_share.cpp
+++ b/src/quota_share.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kMaxCredit = kQuotaCallTimeout + std::chrono::milliseconds(100);
 // A workspace without tokens, shares and requests for this time is forgotten.
 constexpr Duration kIdleTime = std::chrono::seconds(30);
+// Interval within which a share is renewed; it is valid for kQuotaWindow.
+constexpr Duration kShareRenewal = std::chrono::seconds(1);
 // Retry-After of a request without an owner.
 constexpr Duration kUnavailableWait = std::chrono::milliseconds(300);
 
@@ -75,7 +77,7 @@
 {
   return aQuota.mReturned > 0 || aQuota.mUsedAlone > 0 ||
          (aQuota.mShare > 0 && aQuota.mShareUntil > aNow &&
-          aQuota.mCalledAt + kQuotaRenewal <= aNow);
+          aQuota.mCalledAt + kShareRenewal <= aNow);
 }
 
 QuotaDemand
@@ -170,6 +172,12 @@
   if (aShare.mOwnerLost && (aShare.mCallOpen || aNow < aShare.mFailedAt + kOwnerRetry)) {
     return PassAlone(quota, aNow) ? QuotaDecision::GrantedAlone : QuotaDecision::Unavailable;
   }
+  // The owner has charged the share already, so that the request need not wait for a call. It is
+  // reported at once, because the owner renews the reserve only after it was told of its use.
+  if (!aShare.mOwnerLost && PassAlone(quota, aNow)) {
+    aShare.mReportDue = true;
+    return QuotaDecision::GrantedAlone;
+  }
   if (quota.mWanted++ == 0) {
     aShare.mWaiting.push_back(aWorkspace);
   }
@@ -217,7 +225,8 @@
   if (aShare.mCallOpen) {
     return TimePoint::max();
   }
-  const TimePoint due = aShare.mWaiting.empty() ? aShare.mRenewalAt : aNow;
+  const bool dueNow = !aShare.mWaiting.empty() || aShare.mReportDue;
+  const TimePoint due = dueNow ? aNow : aShare.mRenewalAt;
   if (!aShare.mOwnerLost || due == TimePoint::max()) {
     return due;
   }
@@ -233,6 +242,13 @@
     ExpireTokens(quota, aNow);
     call.mDemands.push_back(MakeDemand(name, quota, aNow));
   }
+  if (std::exchange(aShare.mReportDue, false)) {
+    for (auto& [name, quota] : aShare.mWorkspaces) {
+      if (quota.mUsedAlone > 0 && quota.mCalledAt != aNow) {
+        call.mDemands.push_back(MakeDemand(name, quota, aNow));
+      }
+    }
+  }
   if (aShare.mRenewalAt <= aNow) {
     for (auto& [name, quota] : aShare.mWorkspaces) {
       ExpireTokens(quota, aNow);
--- a/src/quota_share.h
+++ b/src/quota_share.h
@@ -69,6 +69,8 @@
   std::vector<std::string> mWaiting;
   // When the workspaces are looked through for tokens to return and shares to renew.
   TimePoint mRenewalAt = TimePoint::max();
+  // Requests that passed by a share are to be reported now.
+  bool mReportDue = false;
 };
 
 enum class QuotaDecision : std::uint8_t
