Test that a data centre that returns while it warms up keeps to the rate

Cause: no test covered the way of a warm-up from the announcement through coordinators to the limits of gateways. Change: EvacuationTest::DataCentreReturnsWarmingUp with coordinators and gateways; the test protocol takes a rate after a service.

--- a/tests/process_protocol.cpp
+++ b/tests/process_protocol.cpp
@@ -72,9 +72,13 @@
   route.mTarget = target == "all" ? RouteTarget::AllShards : RouteTarget::OneService;
   route.mTopRecords = 1;
   route.mMinCoverage = 0.5;
-  for (std::string service; words >> service;) {
+  for (std::string word; words >> word;) {
+    const std::size_t colon = word.find(':');
+    const std::string service = word.substr(0, colon);
+    const double rate =
+      colon != std::string::npos ? std::strtod(word.c_str() + colon + 1, nullptr) : 0;
     route.mServices.push_back({ service, 1 });
-    document.mServices.push_back({ service, kMaxConnections });
+    document.mServices.push_back({ service, kMaxConnections, rate });
   }
   if (!route.mServices.empty()) {
     document.mRoutes.push_back(std::move(route));
--- a/tests/process_protocol.h
+++ b/tests/process_protocol.h
@@ -19,8 +19,9 @@
 // Calls are PUT and DELETE /upstreams/ID with the arguments sequence, state, service, address,
 // incarnation, data_centre, warmup (milliseconds), all optional; PUT and GET /document; POST and
 // DELETE /evacuated/DATA-CENTRE; GET /ready. A document is its version, "one" or
-// "all", and the services of its only route, which has the host "h" and the prefix "/". The version
-// alone is a document without a route.
+// "all", and the services of its only route, which has the host "h" and the prefix "/". A service
+// may end with a colon and the rate during warm-ups. The version alone is a document without a
+// route.
 PlatformProtocol
 MakeProcessProtocol();
 
--- a/tests/test_evacuation.cpp
+++ b/tests/test_evacuation.cpp
@@ -234,8 +234,9 @@
 class EvacuatedFleet
 {
 public:
-  EvacuatedFleet()
-    : mFolder(std::filesystem::temp_directory_path() / ("apricot-evacuation-" + TestIp(1)))
+  explicit EvacuatedFleet(milliseconds aWarmup = {})
+    : mWarmup(aWarmup)
+    , mFolder(std::filesystem::temp_directory_path() / ("apricot-evacuation-" + TestIp(1)))
     , mCoordinators(kFirstCoordinator, kMembers, 1)
   {
     std::filesystem::create_directories(mFolder);
@@ -298,6 +299,11 @@
     return RunsSince(aDataCentre, start) > 0;
   }
 
+  const std::vector<TimePoint>& RunsOf(const std::string& aDataCentre)
+  {
+    return mRuns[aDataCentre];
+  }
+
   std::size_t RunsSince(const std::string& aDataCentre, TimePoint aTime)
   {
     const std::vector<TimePoint>& runs = mRuns[aDataCentre];
@@ -356,10 +362,12 @@
     ClientRequest request;
     request.mMethod = "PUT";
     request.mAddress = mCoordinators.ControlAddress(static_cast<int>(++mSequence % kMembers));
-    request.mPath = fmt::format("/upstreams/u-{0}?sequence={1}&address={2}&data_centre={0}",
-                                aDataCentre,
-                                mSequence,
-                                FormatSocketAddress(aAddress));
+    request.mPath =
+      fmt::format("/upstreams/u-{0}?sequence={1}&address={2}&data_centre={0}&warmup={3}",
+                  aDataCentre,
+                  mSequence,
+                  FormatSocketAddress(aAddress),
+                  mWarmup.count());
     mClient.Send(std::move(request), [](const ClientReply&) {});
   }
 
@@ -375,6 +383,7 @@
     mClient.Send(std::move(request), [](const ClientReply&) {});
   }
 
+  const milliseconds mWarmup;
   const std::filesystem::path mFolder;
   CoordinatorGroup mCoordinators;
   std::vector<std::unique_ptr<ChildProcess>> mGateways;
@@ -408,6 +417,7 @@
   CPPUNIT_TEST(AcknowledgedOrderIsKnownWithoutLeader);
   CPPUNIT_TEST(LaggingMemberIsNotCurrentBeforeItHasTheOrder);
   CPPUNIT_TEST(NoRequestReachesAnEvacuatedReplica);
+  CPPUNIT_TEST(DataCentreReturnsWarmingUp);
   CPPUNIT_TEST(AcknowledgedOrderSurvivesReplacementOfTheLeader);
   CPPUNIT_TEST(MemberWithoutLeaderRefusesOrders);
   CPPUNIT_TEST(WarmupTravelsWithRecords);
@@ -718,6 +728,26 @@
     CPPUNIT_ASSERT(fleet.IsServedWithin("a", seconds(30)));
   }
 
+  // With processes of all kinds: the announced warm-up must reach the limits of the gateways.
+  // Callers send 200 requests a second.
+  void DataCentreReturnsWarmingUp()
+  {
+    constexpr double kRate = 4;
+    EvacuatedFleet fleet{ milliseconds(600'000) };
+    fleet.CallUntilAcknowledged("POST", "/evacuated/a");
+    fleet.CallUntilAcknowledged("PUT", "/document", fmt::format("1 one s:{}", kRate));
+    CPPUNIT_ASSERT(fleet.IsServedWithin("b", seconds(30)));
+    CPPUNIT_ASSERT(fleet.RunsOf("a").empty());
+    fleet.CallUntilAcknowledged("DELETE", "/evacuated/a");
+    CPPUNIT_ASSERT(fleet.IsServedWithin("a", seconds(10)));
+    fleet.RunFor(seconds(4));
+    for (const std::string dataCentre : { "a", "b" }) {
+      const std::size_t most = MostInASecond(fleet.RunsOf(dataCentre));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(most), static_cast<double>(most) <= kRate * 1.5 + 5);
+      CPPUNIT_ASSERT(fleet.RunsOf(dataCentre).size() >= 4);
+    }
+  }
+
   void AcknowledgedOrderSurvivesReplacementOfTheLeader()
   {
     constexpr int kMembers = 3;
