--- a/tests/process_protocol.h
+++ b/tests/process_protocol.h
@@ -20,8 +20,9 @@
 // incarnation, data_centre, warmup (milliseconds), all optional; PUT and GET /document; POST and
 // DELETE /evacuated/DATA-CENTRE; GET /ready. A document is its version, "one" or
 // "all", and the services of its only route, which has the host "h" and the prefix "/". The version
-// alone is a document without a route. A word workspace=NAME:KEY:RATE:BURST among the services adds
-// a workspace; without RATE and BURST it has no limit. Requests carry the key in the header "x-key".
+// alone is a document without a route. A service may end with a colon and the rate during warm-ups.
+// A word workspace=NAME:KEY:RATE:BURST among the services adds a workspace; without RATE and BURST
+// it has no limit. Requests carry the key in the header "x-key".
 PlatformProtocol
 MakeProcessProtocol();
 
