Let sends escape from a local replica that just failed

Cause: while the share that leaves was limited, sends were kept at a local replica until its third failure in a row, also if another data centre had room. A single failure engaged the limit.

Change: one failure frees the send if another data centre has room, three if none has. Failures count as overload from 25%, so that one does not. Attempts that are cancelled late count as slow. Decisions have their own random source, so that they do not change the choice of replicas while not engaged.

--- a/src/locality.cpp
+++ b/src/locality.cpp
@@ -380,6 +380,10 @@
     MoveHome(aState, home->mName);
   }
   UpdatePriceCost(aState, aInputs, *home);
+  aState.mRoomElsewhere = std::any_of(
+    aInputs.mDataCentres.begin(), aInputs.mDataCentres.end(), [home](const DataCentreView& aView) {
+      return &aView != home && IsAvailable(aView) && !IsOverloaded(aView);
+    });
   const bool away = home->mName != aInputs.mOwn;
   const bool overloaded = IsOverloaded(*home);
   if (!aState.mEngaged) {
@@ -438,8 +442,12 @@
     // Under overload every request waits for longer, which is no sign of a pause.
     const auto usualNow =
       std::chrono::duration_cast<Duration>(aTypicalLatency * std::max(1.0, aState.mHomeLoad));
-    if (chosen != nullptr && (chosen->mConsecutiveFailures >= kUnreachedFailures ||
-                              IsLikelyPaused(*chosen, usualNow, aNow))) {
+    // A replica that refused a request under overload is still preferred to others that are
+    // overloaded as well.
+    const std::uint32_t maxFailures = aState.mRoomElsewhere ? 0 : kUnreachedFailures;
+    if (chosen != nullptr &&
+        ((chosen->mAvoidUntil > aNow && chosen->mConsecutiveFailures > maxFailures) ||
+         IsLikelyPaused(*chosen, usualNow, aNow))) {
       chosen = nullptr;
     }
   }
--- a/src/locality.h
+++ b/src/locality.h
@@ -20,9 +20,9 @@
 // one replica must not count: one sample raises the load to 1.5 at most.
 inline constexpr double kOverloadLoad = 1.6;
 inline constexpr double kRelievedLoad = 1.25;
-// The same for the share of failed attempts.
-inline constexpr double kOverloadFailures = 0.1;
-inline constexpr double kRelievedFailures = 0.05;
+// The same for the share of failed attempts. A single failure raises it to 0.15 and must not count.
+inline constexpr double kOverloadFailures = 0.25;
+inline constexpr double kRelievedFailures = 0.1;
 // Largest total share that leaves. The rest keeps the estimate of home current.
 inline constexpr double kMaxLeavingShare = 0.97;
 // Share of the sends that probes a data centre that was not reached.
@@ -132,6 +132,8 @@
   double mHomeLoad = 1;
   // Shares that may leave, by data centre, without home.
   std::map<std::string, double> mShares;
+  // Whether a data centre other than home is available and not overloaded.
+  bool mRoomElsewhere = true;
   // Added to the cost of replicas in other data centres, because of the price.
   Duration mPriceCost{};
   // mPriceCost was set.
--- a/src/relay_locality.cpp
+++ b/src/relay_locality.cpp
@@ -33,7 +33,8 @@
   if (mLocalityTimer == 0) {
     // The random phase keeps gateways from deciding at once.
     std::uniform_int_distribution<Duration::rep> phase(0, kLocalityInterval.count());
-    mLocalityTimer = mLoop.AddTimer(aNow + Duration(phase(mRng)), [this] { UpdateLocalities(); });
+    mLocalityTimer =
+      mLoop.AddTimer(aNow + Duration(phase(mLocalityRng)), [this] { UpdateLocalities(); });
   }
 }
 
@@ -132,7 +133,7 @@
       continue;
     }
     anyInUse = true;
-    UpdateLocality(locality.mState, MakeLocalityInputs(service, now), mRng);
+    UpdateLocality(locality.mState, MakeLocalityInputs(service, now), mLocalityRng);
     locality.mUpdatedAt = now;
     for (auto& [dataCentre, count] : locality.mSent) {
       count = 0;
--- a/src/relay_send.cpp
+++ b/src/relay_send.cpp
@@ -512,6 +512,13 @@
   RelayAttempt& attempt = node.mapped();
   mClient.Cancel(attempt.mTransfer);
   ReleaseAttempt(attempt);
+  // It would have taken longer than that.
+  const TimePoint now = SteadyNow();
+  if (const auto replica = mReplicas.find(attempt.mUpstream);
+      replica != mReplicas.end() && attempt.mIsFirstSend &&
+      now - attempt.mSentAt > kLosingAttemptGrace) {
+    RecordLoadOf(attempt, *replica->second, true, now);
+  }
   RelaySubrequest& subrequest = attempt.mOwner->mSubrequests[attempt.mSubrequestIndex];
   subrequest.mActiveAttempts.erase(aAttemptId);
   SendQueued(subrequest.mService);
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -343,6 +343,8 @@
   // Loads over all services, by data centre.
   std::map<std::string, LoadEstimate> mDataCentreLoads;
   TimerId mLocalityTimer = 0;
+  // Separate, so that decisions do not change how replicas are chosen while they are not engaged.
+  Rng mLocalityRng{ mSettings.mSeed + 1 };
   const TimePoint mStartedAt = SteadyNow();
   // Limit on idle connections to all replicas together.
   std::size_t mMaxIdleConnections = 0;
--- a/tests/test_locality.cpp
+++ b/tests/test_locality.cpp
@@ -446,6 +446,8 @@
   CPPUNIT_TEST(HomeReturns);
   CPPUNIT_TEST(OnePauseIsNoOverload);
   CPPUNIT_TEST(OverloadDoesNotBecomeUsual);
+  CPPUNIT_TEST(OneFailureIsNoOverload);
+  CPPUNIT_TEST(FailedReplicaIsAvoidedWhileEngaged);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -686,6 +688,56 @@
     CPPUNIT_ASSERT(BlendLoad(load, load, basis, basis, now) > kOverloadLoad);
   }
 
+  // One lost reply must not change how requests are placed.
+  void OneFailureIsNoOverload()
+  {
+    Rng rng(1);
+    LoadEstimate load;
+    RecordLoadFailure(load, kStart);
+    LocalityState state;
+    LocalityInputs inputs = Inputs();
+    inputs.mDataCentres[0].mFailureShare = FailureShare(load, kStart);
+    UpdateLocality(state, inputs, rng);
+    CPPUNIT_ASSERT(!state.mEngaged);
+    RecordLoadFailure(load, kStart);
+    inputs.mDataCentres[0].mFailureShare = FailureShare(load, kStart);
+    UpdateLocality(state, inputs, rng);
+    CPPUNIT_ASSERT(state.mEngaged);
+  }
+
+  // While shares limit what leaves, requests must not be kept at a local replica that just failed
+  // if another data centre has room, and must not leave because of a refusal if none has.
+  void FailedReplicaIsAvoidedWhileEngaged()
+  {
+    Rng rng(1);
+    ReplicaView local;
+    ReplicaView remote;
+    local.mInfo.mId = "l";
+    remote.mInfo.mId = "r";
+    local.mInfo.mDataCentre = "a";
+    remote.mInfo.mDataCentre = "b";
+    local.mInfo.mState = remote.mInfo.mState = UpstreamState::Ready;
+    const std::vector<ReplicaView*> replicas{ &local, &remote };
+    PlacementLimits limits;
+    limits.mDataCentre = "a";
+    LocalityState state;
+    state.mEngaged = true;
+    state.mHome = "a";
+    const auto choose = [&] {
+      return ChooseByLocality(state, replicas, {}, limits, milliseconds(20), kStart, rng);
+    };
+    CPPUNIT_ASSERT(choose() == &local);
+    RecordFailure(local, kStart);
+    CPPUNIT_ASSERT(choose() == &remote);
+    state.mRoomElsewhere = false;
+    CPPUNIT_ASSERT(choose() == &local);
+    RecordFailure(local, kStart);
+    RecordFailure(local, kStart);
+    RecordFailure(local, kStart);
+    CPPUNIT_ASSERT(choose() == &remote);
+    CPPUNIT_ASSERT(limits.mOnlyDataCentres.empty());
+  }
+
 private:
   static LocalityInputs Inputs()
   {
