--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -104,6 +104,7 @@
     settings.mSourceIp = aSettings.mCallerAddress.mIp;
     settings.mExtraSends = aSettings.mExtraSends;
     settings.mPricePerGb = aSettings.mPricePerGb;
+    settings.mLimitLeaving = aSettings.mLimitLeaving;
     settings.mSeed = std::hash<std::string>()(aSettings.mHost);
     return settings;
   }
@@ -727,6 +728,7 @@
     "extra_sends.fixed", Presence::Optional, 0, kMaxFixedExtraSends, aSettings.mExtraSends.mFixed);
   aReader.Number(
     "locality.price_per_gb", Presence::Optional, 0, kMaxPricePerGb, aSettings.mPricePerGb);
+  aReader.Boolean("locality.limit_leaving", Presence::Optional, aSettings.mLimitLeaving);
   aReader.Number("processor_share", Presence::Optional, 0.01, 1024, aSettings.mProcessorShare);
   aReader.Time("stop_grace",
                Presence::Optional,
--- a/src/locality.cpp
+++ b/src/locality.cpp
@@ -384,11 +384,10 @@
     aInputs.mDataCentres.begin(), aInputs.mDataCentres.end(), [home](const DataCentreView& aView) {
       return &aView != home && IsAvailable(aView) && !IsOverloaded(aView);
     });
+  const bool away = home->mName != aInputs.mOwn;
   const bool overloaded = IsOverloaded(*home);
   if (!aState.mEngaged) {
-    // Without a replica in the own data centre the cost of each send decides as well: one other data
-    // centre alone would leave half of the replicas unused.
-    if (!overloaded) {
+    if (!away && !overloaded) {
       aState.mHomeLoad = home->mLoad;
       return;
     }
@@ -400,7 +399,7 @@
     RaiseShare(aState, aInputs, *home, aRng);
   }
   aState.mHomeLoad = home->mLoad;
-  if (IsRelieved(*home) && TotalShare(aState) <= kCutProbeShare) {
+  if (!away && IsRelieved(*home) && TotalShare(aState) <= kCutProbeShare) {
     aState.mEngaged = false;
     aState.mShares.clear();
   }
--- a/src/relay_locality.cpp
+++ b/src/relay_locality.cpp
@@ -28,6 +28,9 @@
 void
 Relay::State::NoteFirstSend(RelayService& aService, const ReplicaView& aReplica, TimePoint aNow)
 {
+  if (!mSettings.mLimitLeaving) {
+    return;
+  }
   ++aService.mLocality.mSent[aReplica.mInfo.mDataCentre];
   aService.mLocality.mUsedAt = aNow;
   if (mLocalityTimer == 0) {
@@ -44,6 +47,9 @@
                            bool aAnswered,
                            TimePoint aNow)
 {
+  if (!mSettings.mLimitLeaving) {
+    return;
+  }
   const RelayedRequest& owner = *aAttempt.mOwner;
   const std::string& dataCentre = aReplica.mInfo.mDataCentre;
   ServiceLocality& locality =
--- a/src/relay_send.cpp
+++ b/src/relay_send.cpp
@@ -56,7 +56,7 @@
   std::span<ReplicaView* const> replicas = service->second.mReplicas;
   const std::set<std::string>& tried = aSubrequest.mTriedReplicas;
   if (!NeedsIsolation(aRelayed, aSubrequest)) {
-    if (aSubrequest.mSendCount == 0) {
+    if (aSubrequest.mSendCount == 0 && mSettings.mLimitLeaving) {
       return ChooseByLocality(
         service->second.mLocality.mState, replicas, tried, mLimits, typicalLatency, aNow, mRng);
     }
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -192,6 +192,7 @@
   static RelaySettings Settings()
   {
     RelaySettings settings;
+    settings.mLimitLeaving = true;
     settings.mDataCentre = "a";
     settings.mSourceIp = kGatewayIp;
     return settings;
