Reconnect to a member whose first connection attempt got no answer

Cause: members that start before the hosts of others have power send a first packet that is lost; the kernel repeats it after a second, so that their answers to later members waited for it. Change: a link that hears its peer while its own attempt is older than 200 ms opens a new channel. RaftNodeTest: 10 passed.

--- a/src/raft_node.cpp
+++ b/src/raft_node.cpp
@@ -28,6 +28,9 @@
 // Messages are repeated at least this often after a start (StartPoll in raft.h). With 200 ms, a
 // member that started before its peers spent most of the time for the first election on this wait.
 constexpr absl::Duration kReconnectDelay = absl::Milliseconds(50);
+// A connection attempt to a peer that was heard meanwhile is given up only after this time, which a
+// handshake with a busy peer takes.
+constexpr absl::Duration kMinAttemptTime = absl::Milliseconds(200);
 // A connection that silently stops delivering is closed after the sum of the two times.
 constexpr int kKeepaliveMillis = 1000;
 constexpr int kKeepaliveTimeoutMillis = 1000;
@@ -153,6 +156,7 @@
     : mPeer(std::move(aPeer))
     , mPeerAddress(aPeerAddress)
     , mOwnAddress(std::move(aOwnAddress))
+    , mCredentials(aCredentials)
     , mChannel(OpenChannel(aPeerAddress, aCredentials))
     , mStub(rpc::Raft::NewStub(mChannel))
     , mThread([this] { ThreadMain(); })
@@ -176,14 +180,19 @@
 
   const SocketAddress& Address() const { return mPeerAddress; }
 
-  // Ends the wait before the next attempt to connect, because the peer has just been heard.
-  // Thread-safe.
+  // Ends the wait before the next attempt to connect, or an attempt that got no answer, because the
+  // peer has just been heard. If the peer's host had no power when the attempt began, the kernel
+  // repeats the first packet only after a second. Thread-safe.
   void ReconnectNow()
   {
     absl::MutexLock lock(&mMutex);
     if (mWaiting && !mReconnectNow) {
       mReconnectNow = true;
       grpc::experimental::ChannelResetConnectionBackoff(mChannel.get());
+    } else if (mContext != nullptr && mOpenedAt + kMinAttemptTime < absl::Now() &&
+               mChannel->GetState(false) == GRPC_CHANNEL_CONNECTING) {
+      mReplaceChannel = true;
+      mContext->TryCancel();
     }
   }
 
@@ -220,6 +229,12 @@
   bool WaitBeforeReconnect()
   {
     absl::MutexLock lock(&mMutex);
+    if (std::exchange(mReplaceChannel, false)) {
+      mChannel = OpenChannel(mPeerAddress, mCredentials);
+      mStub = rpc::Raft::NewStub(mChannel);
+      mOpenedAt = absl::Now();
+      return mStopping;
+    }
     const auto ready = [this] { return mStopping || mReconnectNow; };
     mWaiting = true;
     mSendQueue.clear();
@@ -275,9 +290,13 @@
   const std::string mPeer;
   const SocketAddress mPeerAddress;
   const SocketAddress mOwnAddress;
-  const std::shared_ptr<grpc::Channel> mChannel;
-  const std::unique_ptr<rpc::Raft::Stub> mStub;
+  const std::shared_ptr<grpc::ChannelCredentials> mCredentials;
   absl::Mutex mMutex;
+  // Replaced by the thread of the link only, with the mutex held.
+  std::shared_ptr<grpc::Channel> mChannel;
+  std::unique_ptr<rpc::Raft::Stub> mStub;
+  absl::Time mOpenedAt = absl::Now();
+  bool mReplaceChannel = false;
   std::deque<RaftMessage> mSendQueue;
   std::size_t mQueuedBytes = 0;
   bool mStopping = false;
