--- a/src/gateway.h
+++ b/src/gateway.h
@@ -30,7 +30,8 @@
   ExtraBudgetLimits mExtraSends;
   // Price of a GB to another data centre; 0 if it costs nothing.
   double mPricePerGb = 0;
-  // Whether gateways limit the share of sends that leaves an overloaded data centre; see locality.h.
+  // Whether gateways limit the share of sends that leaves an overloaded data centre; see
+  // locality.h.
   bool mLimitLeaving = false;
   // Cores that this host may use; a fraction on small hosts.
   double mProcessorShare = 1;
