--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -24,10 +24,9 @@
 // Replies of the previous owner may give shares for kQuotaCallTimeout after the start of a new one,
 // and gateways update their reports every 250 ms.
 constexpr Duration kLateReplyTime = std::chrono::milliseconds(600);
-// Gateways that hold a reserve of one request, over all gateways: a fixed number, and a part of
-// what the limit allows in a window. A request that finds a reserve does not wait for the owner.
-constexpr double kFixedReserves = 6;
-constexpr double kReserveRatio = 0.06;
+// Gateways that hold a reserve of one request, over all gateways. Shares below 1 per second would
+// serve nobody in a short outage.
+constexpr std::uint32_t kMaxReserves = 6;
 // Smaller shares are not given. Ends the renewals of gateways out of use.
 constexpr double kMinShare = 0.05;
 // Interval at which holders and buckets out of use are removed.
@@ -60,12 +59,6 @@
   return std::max(aLimit.mBurst, 1.0) + kExtraCapacitySeconds * aLimit.mRate;
 }
 
-double
-MaxReserves(const QuotaLimit& aLimit)
-{
-  return kFixedReserves + kReserveRatio * (aLimit.mRate * Seconds(kQuotaWindow) + aLimit.mBurst);
-}
-
 // Adds what accrued up to aUntil at the present rates.
 void
 Accrue(QuotaBucket& aBucket, const QuotaLimit& aLimit, TimePoint aUntil)
@@ -349,8 +342,7 @@
     const double free = std::max(0.0, limit->second.mRate - bucket.mShares - bucket.mUnknownShare);
     const double share = holder.mRecent / Seconds(kQuotaWindow);
     grant.mShare = share >= kMinShare ? std::min(share, free) : 0;
-    if (holder.mReserve == 0 && share >= kMinShare &&
-        bucket.mReserves + 1 <= MaxReserves(limit->second)) {
+    if (holder.mReserve == 0 && share >= kMinShare && bucket.mReserves < kMaxReserves) {
       holder.mReserve = 1;
       ++bucket.mReserves;
     }
