--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -7,6 +7,7 @@
 #include "document_lease.h"
 #include "document_state.h"
 #include "evacuation_metrics.h"
+#include "extra_send_pool.h"
 #include "fleet.grpc.pb.h"
 #include "fleet_client.h"
 #include "fleet_messages.h"
@@ -667,7 +668,13 @@
              { { "version", mQuotaVersion }, { "reason", document.error().mMessage } });
     return;
   }
-  SetQuotaLimits(mQuotaLedger, LimitsOf(*document), SteadyNow());
+  auto limits = LimitsOf(*document);
+  if (mSettings.mPooledExtraSends) {
+    for (const RoutedService& service : document->mServices) {
+      limits[ExtraSendPool(service.mName)] = ExtraSendPoolLimit(mSettings.mExtraSends);
+    }
+  }
+  SetQuotaLimits(mQuotaLedger, std::move(limits), SteadyNow());
 }
 
 void
@@ -1367,6 +1374,7 @@
 ReadCoordinatorSettings(SettingsReader& aReader, CoordinatorSettings& aSettings)
 {
   constexpr std::int64_t kMaxPort = 65'535;
+  constexpr double kMaxFixedExtraSends = 1e6;
   aReader.Text("host", Presence::Required, 1, 64, aSettings.mHost);
   aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
   aReader.Address("control_address", Presence::Required, aSettings.mControlAddress);
@@ -1378,6 +1386,14 @@
   aReader.AddressList("seeds", Presence::Required, aSettings.mSeeds);
   aReader.Boolean("first_start", Presence::Optional, aSettings.mFirstStart);
   aReader.Integer("tolerated_losses", Presence::Optional, 0, 3, aSettings.mToleratedLosses);
+  aReader.Boolean("extra_sends.pooled", Presence::Optional, aSettings.mPooledExtraSends);
+  aReader.Number(
+    "extra_sends.fixed", Presence::Optional, 0, kMaxFixedExtraSends, aSettings.mExtraSends.mFixed);
+  aReader.Time("extra_sends.window",
+               Presence::Optional,
+               std::chrono::seconds(1),
+               std::chrono::minutes(10),
+               aSettings.mExtraSends.mWindow);
   aReader.Time("address_lifetime",
                Presence::Optional,
                std::chrono::seconds(1),
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -103,6 +103,7 @@
     settings.mDataCentre = aSettings.mDataCentre;
     settings.mSourceIp = aSettings.mCallerAddress.mIp;
     settings.mExtraSends = aSettings.mExtraSends;
+    settings.mPooledExtraSends = aSettings.mPooledExtraSends;
     settings.mPricePerGb = aSettings.mPricePerGb;
     settings.mLimitLeaving = aSettings.mLimitLeaving;
     settings.mSeed = std::hash<std::string>()(aSettings.mHost);
@@ -729,6 +730,7 @@
   aReader.Number(
     "locality.price_per_gb", Presence::Optional, 0, kMaxPricePerGb, aSettings.mPricePerGb);
   aReader.Boolean("locality.limit_leaving", Presence::Optional, aSettings.mLimitLeaving);
+  aReader.Boolean("extra_sends.pooled", Presence::Optional, aSettings.mPooledExtraSends);
   aReader.Number("processor_share", Presence::Optional, 0.01, 1024, aSettings.mProcessorShare);
   aReader.Time("stop_grace",
                Presence::Optional,
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -28,6 +28,9 @@
   // Addresses of some coordinators. Only the IP addresses are used; the port is mRpcPort.
   std::vector<SocketAddress> mSeeds;
   ExtraBudgetLimits mExtraSends;
+  // Whether coordinators keep a pool of extra sends for each service; see extra_send_pool.h. Must
+  // be the same on all hosts.
+  bool mPooledExtraSends = false;
   // Price of a GB to another data centre; 0 if it costs nothing.
   double mPricePerGb = 0;
   // Whether gateways limit the share of sends that leaves an overloaded data centre; see
--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -1,5 +1,7 @@
 #include "quota_ledger.h"
 
+#include "extra_send_pool.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -301,8 +303,10 @@
   for (const QuotaDemand& demand : aCall.mDemands) {
     const auto limit = aLedger.mLimits.find(demand.mWorkspace);
     if (limit == aLedger.mLimits.end() || limit->second.mRate <= 0) {
-      reply.mGrants.push_back(
-        { demand.mWorkspace, std::min(demand.mWanted, kMaxTokens), {}, 0, 0 });
+      // A workspace without a limit gets all; a service that is not known has no pool.
+      const std::uint32_t granted =
+        IsExtraSendPool(demand.mWorkspace) ? 0 : std::min(demand.mWanted, kMaxTokens);
+      reply.mGrants.push_back({ demand.mWorkspace, granted, {}, 0, 0 });
       continue;
     }
     auto found = aLedger.mBuckets.find(demand.mWorkspace);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -526,7 +526,10 @@
     Hold(relayed, attempt.mSubrequestIndex);
     return;
   }
-  const bool resent = mayResend && TryResend(relayed, attempt.mSubrequestIndex, kind);
+  const bool resent =
+    mayResend &&
+    (TryResend(relayed, attempt.mSubrequestIndex, kind) ||
+     (subrequest.mActiveAttempts.empty() && TryPooledResend(relayed, attempt.mSubrequestIndex)));
   subrequest.mFailed = !resent && subrequest.mActiveAttempts.empty();
   FinishIfDecided(relayed);
 }
--- a/src/relay.h
+++ b/src/relay.h
@@ -25,6 +25,8 @@
   ExtraBudgetLimits mExtraSends;
   // Price of a GB to another data centre; see locality.h.
   double mPricePerGb = 0;
+  // Whether retries beyond this gateway's part of mExtraSends may use the pools of the services.
+  bool mPooledExtraSends = false;
   // Whether the share of sends that leaves an overloaded data centre is limited; see locality.h.
   bool mLimitLeaving = false;
   std::uint64_t mSeed = 1;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -31,6 +31,12 @@
   , mStoppedRequests(aRegistry.AddGauge("apricot_requests_stopped",
                                         "Requests by service and content that are stopped because "
                                         "they crash replicas."))
+  , mPooledSends(aRegistry.AddCounter("apricot_pooled_sends_total",
+                                      "Retries by tokens of the pools of services.",
+                                      R"(decision="sent")"))
+  , mPooledDenied(aRegistry.AddCounter("apricot_pooled_sends_total",
+                                       "Retries by tokens of the pools of services.",
+                                       R"(decision="denied")"))
   , mRejectedKeys(aRegistry.AddCounter("apricot_keys_rejected_total",
                                        "Requests refused because their key is missing or unknown."))
   , mWithoutLease(aRegistry.AddCounter("apricot_requests_without_lease_total",
@@ -127,6 +133,12 @@
   (aLocal ? mLocalBytes : mRemoteBytes).Add(aBytes);
 }
 
+void
+RelayMetrics::CountPooledSend(bool aSent)
+{
+  (aSent ? mPooledSends : mPooledDenied).Add();
+}
+
 void
 RelayMetrics::CountRejectedKey()
 {
--- a/src/relay_metrics.h
+++ b/src/relay_metrics.h
@@ -50,6 +50,8 @@
   // Counts the bytes exchanged in a finished attempt. aLocal is true if the replica is in this data
   // centre.
   void CountReplicaBytes(std::size_t aBytes, bool aLocal);
+  // A retry that was sent with a token of a pool, or found none.
+  void CountPooledSend(bool aSent);
   void CountRejectedKey();
   void CountWithoutLease();
   void SetBudgetUsed(const std::string& aService, double aShare);
@@ -89,6 +91,8 @@
   Gauge& mWarmingReplicas;
   Gauge& mEvacuatedReplicas;
   Gauge& mStoppedRequests;
+  Counter& mPooledSends;
+  Counter& mPooledDenied;
   Counter& mRejectedKeys;
   Counter& mWithoutLease;
   Gauge& mServicesLeaving;
--- a/src/relay_quota.cpp
+++ b/src/relay_quota.cpp
@@ -167,7 +167,11 @@
     mQuota.mOwnerLostLogged = lost;
   }
   for (const QuotaOutcome& outcome : outcomes) {
-    ResolveWaiting(outcome);
+    if (IsExtraSendPool(outcome.mWorkspace)) {
+      ResolvePooledSends(outcome);
+    } else {
+      ResolveWaiting(outcome);
+    }
   }
   CallQuotaOwner();
 }
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -4,6 +4,7 @@
 //   relay_identity.cpp   identifies callers and checks their keys before each send
 //   relay_send.cpp       chooses replicas, opens connections, sends, queues, retries and hedges
 //   relay_quota.cpp      admits requests of workspaces with a limit
+//   relay_extra_sends.cpp  takes tokens for retries from the pools of services
 //   relay_locality.cpp   observes loads and decides which share of the sends leaves the data centre
 //   relay_passing.cpp    passes requests on to other gateways while no replica can be reached
 //   relay_evacuation.cpp applies evacuations of data centres and warm-ups of replicas
@@ -15,6 +16,7 @@
 #include "caller_identity.h"
 #include "crash_ledger.h"
 #include "document_lease.h"
+#include "extra_send_pool.h"
 #include "fair_queue.h"
 #include "gather_guard.h"
 #include "locality.h"
@@ -257,6 +259,13 @@
   void CallQuotaOwner();
   void OnQuotaReply(std::uint64_t aNumber, const std::optional<QuotaReply>& aReply);
   void ResolveWaiting(const QuotaOutcome& aOutcome);
+  // Whether retries beyond the part of this gateway may take tokens from the pools.
+  bool UsesPools() const;
+  // Sends a sub-request again with a token of its service's pool, now or once the owner has granted
+  // one. False if there is none, or no replica.
+  bool TryPooledResend(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex);
+  bool SendPooled(const std::shared_ptr<RelayedRequest>& aRelayed, std::size_t aIndex, bool aAlone);
+  void ResolvePooledSends(const QuotaOutcome& aOutcome);
   bool PauseForToken(const std::shared_ptr<RelayedRequest>& aRelayed, Duration aWait);
   void RefuseForQuota(const std::shared_ptr<RelayedRequest>& aRelayed,
                       bool aUnavailable,
@@ -390,7 +399,7 @@
 
   ExtraBudgetLimits ExtraSendLimits() const
   {
-    ExtraBudgetLimits limits = mSettings.mExtraSends;
+    ExtraBudgetLimits limits = OwnExtraSendLimits(mSettings.mExtraSends, UsesPools());
     limits.mFixed = mActive ? limits.mFixed : 0;
     return limits;
   }
@@ -407,6 +416,8 @@
   HttpClient mClient;
   RelayMetrics mMetrics;
   RelayQuota mQuota;
+  // By pool, in the order in which they asked for a token. Those that are over are skipped.
+  std::map<std::string, std::deque<WaitingSubrequest>> mPoolWaiting;
   PlacementLimits mLimits;
   std::shared_ptr<const RoutingTable> mRoutingTable;
   DocumentLease mDocumentLease;
