Let requests pass in the first moments without an owner of quotas

Change: the owner tells for how long half of the bucket covers the use of all gateways; they pass what they usually get and one more each.

--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -29,6 +29,12 @@
 // Gateways that hold a reserve of one request, over all gateways. Shares below 1 per second would
 // serve nobody in a short outage.
 constexpr std::uint32_t kMaxReserves = 6;
+// Part of the bucket that gateways may use in the first moments without an owner. These tokens are
+// lost with the owner, so that they are not granted twice; gateways that are merely cut off from it
+// spend them beside the others.
+constexpr double kFreePart = 0.5;
+// Longer outages are left to shares and reserves.
+constexpr Duration kMaxFreeTime = std::chrono::milliseconds(2500);
 // Smaller shares are not given. Ends the renewals of gateways out of use.
 constexpr double kMinShare = 0.05;
 // Interval at which holders and buckets out of use are removed.
@@ -68,8 +74,9 @@
   if (aUntil <= aBucket.mFilledAt) {
     return;
   }
-  aBucket.mLevel +=
-    (aLimit.mRate - aBucket.mShares - aBucket.mUnknownShare) * Seconds(aUntil - aBucket.mFilledAt);
+  const double elapsed = Seconds(aUntil - aBucket.mFilledAt);
+  aBucket.mLevel += (aLimit.mRate - aBucket.mShares - aBucket.mUnknownShare) * elapsed;
+  aBucket.mRecent *= std::exp(-elapsed / Seconds(kQuotaWindow));
   aBucket.mFilledAt = aUntil;
 }
 
@@ -193,6 +200,14 @@
   return first - aNow;
 }
 
+Duration
+FreeTime(const QuotaBucket& aBucket)
+{
+  const double usable = kFreePart * std::max(0.0, aBucket.mLevel);
+  const double demand = aBucket.mRecent / Seconds(kQuotaWindow);
+  return usable >= demand * Seconds(kMaxFreeTime) ? kMaxFreeTime : FromSeconds(usable / demand);
+}
+
 QuotaGrant
 Grant(QuotaBucket& aBucket,
       const QuotaLimit& aLimit,
@@ -214,6 +229,8 @@
     grant.mGranted += static_cast<std::uint32_t>(extras);
   }
   aHolder.mRecent += grant.mGranted;
+  aBucket.mRecent += wanted + std::min(aDemand.mUsedAlone, kMaxTokens);
+  grant.mFreeTime = FreeTime(aBucket);
   return grant;
 }
 
--- a/src/quota_ledger.h
+++ b/src/quota_ledger.h
@@ -67,6 +67,8 @@
   double mShare = 0;
   // Requests that the gateway may let pass, beyond its share, while it cannot reach an owner.
   std::uint32_t mReserve = 0;
+  // Time without an owner for which the bucket could serve all callers as they ask at present.
+  Duration mFreeTime{};
 };
 
 struct QuotaReply
@@ -102,6 +104,8 @@
   std::uint64_t mExtraInterval = 0;
   double mExtras = 0;
   double mPreviousExtras = 0;
+  // Requests of all gateways, decaying over kQuotaWindow, as of mFilledAt.
+  double mRecent = 0;
   // Time of the last slot that was promised to a refused request.
   TimePoint mPromisedAt;
   TimePoint mSweptAt;
--- a/src/quota_messages.cpp
+++ b/src/quota_messages.cpp
@@ -52,6 +52,7 @@
       std::chrono::ceil<std::chrono::milliseconds>(grant.mWait).count()));
     added.set_share(grant.mShare);
     added.set_reserve(grant.mReserve);
+    added.set_free_ms(static_cast<std::uint32_t>(grant.mFreeTime / std::chrono::milliseconds(1)));
   }
 }
 
@@ -66,7 +67,8 @@
                               grant.granted(),
                               std::chrono::milliseconds(grant.wait_ms()),
                               grant.share(),
-                              grant.reserve() });
+                              grant.reserve(),
+                              std::chrono::milliseconds(grant.free_ms()) });
   }
   return reply;
 }
--- a/src/quota_share.cpp
+++ b/src/quota_share.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kMaxCredit = kQuotaCallTimeout + std::chrono::milliseconds(100);
 // A workspace without tokens, shares and requests for this time is forgotten.
 constexpr Duration kIdleTime = std::chrono::seconds(30);
+// An older statement of the owner about the use of all gateways is not relied on.
+constexpr Duration kFreeTimeLifetime = std::chrono::seconds(10);
 // Interval within which a share is renewed; it is valid for kQuotaWindow.
 constexpr Duration kShareRenewal = std::chrono::seconds(1);
 // Retry-After of a request without an owner.
@@ -51,6 +53,21 @@
   return true;
 }
 
+// Whether a request may pass in the first moments without an owner. This gateway lets pass as many
+// as it usually gets, and one.
+bool
+PassFree(const QuotaShare& aShare, WorkspaceQuota& aQuota, TimePoint aNow)
+{
+  const Duration lost = aNow - aShare.mLostAt;
+  if (lost > aQuota.mFreeTime || aQuota.mAnsweredAt + kFreeTimeLifetime < aNow ||
+      aQuota.mFreeUsed >= 1 + aQuota.mShare * Seconds(lost)) {
+    return false;
+  }
+  ++aQuota.mFreeUsed;
+  ++aQuota.mUsedAlone;
+  return true;
+}
+
 void
 HoldTokens(WorkspaceQuota& aQuota, std::uint32_t aTokens, TimePoint aFrom)
 {
@@ -124,6 +141,9 @@
   quota.mShareTerm = aShare.mTerm;
   quota.mShareUntil = aShare.mCalledAt + kQuotaWindow;
   quota.mReserve = aGrant.mReserve;
+  quota.mFreeTime = aGrant.mFreeTime;
+  quota.mAnsweredAt = aNow;
+  quota.mFreeUsed = 0;
   quota.mCredit = 0;
   quota.mCreditAt = aNow;
   QuotaOutcome outcome;
@@ -149,7 +169,8 @@
   outcome.mWorkspace = aDemand.mWorkspace;
   outcome.mUnavailable = true;
   outcome.mWait = kUnavailableWait;
-  while (outcome.mAlone < aDemand.mWanted && PassAlone(quota, aNow)) {
+  while (outcome.mAlone < aDemand.mWanted &&
+         (PassAlone(quota, aNow) || PassFree(aShare, quota, aNow))) {
     ++outcome.mAlone;
   }
   outcome.mDenied = aDemand.mWanted - outcome.mAlone;
@@ -170,7 +191,8 @@
     return QuotaDecision::Granted;
   }
   if (aShare.mOwnerLost && (aShare.mCallOpen || aNow < aShare.mFailedAt + kOwnerRetry)) {
-    return PassAlone(quota, aNow) ? QuotaDecision::GrantedAlone : QuotaDecision::Unavailable;
+    return PassAlone(quota, aNow) || PassFree(aShare, quota, aNow) ? QuotaDecision::GrantedAlone
+                                                                   : QuotaDecision::Unavailable;
   }
   // The owner has charged the share already, so that the request need not wait for a call. It is
   // reported at once, because the owner renews the reserve only after it was told of its use.
@@ -281,6 +303,9 @@
   const bool valid = aReply && aReply->mTerm > 0 && aReply->mTerm >= aShare.mTerm &&
                      aShare.mCalledAt + kQuotaCallTimeout >= aNow;
   std::vector<QuotaOutcome> outcomes;
+  if (!valid && !aShare.mOwnerLost) {
+    aShare.mLostAt = aShare.mCalledAt;
+  }
   aShare.mOwnerLost = !valid;
   if (!valid) {
     aShare.mFailedAt = aNow;
--- a/src/quota_share.h
+++ b/src/quota_share.h
@@ -46,6 +46,11 @@
   double mCredit = 0;
   // Requests that may pass without it until the share lapses.
   std::uint32_t mReserve = 0;
+  // Time after the loss of the owner in which requests may pass, as the owner gave it at
+  // mAnsweredAt, and the number that has passed so since.
+  Duration mFreeTime{};
+  TimePoint mAnsweredAt;
+  std::uint32_t mFreeUsed = 0;
   TimePoint mCreditAt;
   // When the workspace was last in a call.
   TimePoint mCalledAt;
@@ -64,6 +69,8 @@
   // Whether the last call failed, and when.
   bool mOwnerLost = false;
   TimePoint mFailedAt;
+  // When the first of the calls that failed since was made.
+  TimePoint mLostAt;
   absl::flat_hash_map<std::string, WorkspaceQuota> mWorkspaces;
   // Workspaces with requests that wait and are in no call yet.
   std::vector<std::string> mWaiting;
