--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -1,5 +1,7 @@
 #include "quota_ledger.h"
 
+#include "extra_send_pool.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,6 +29,12 @@
 // Gateways that hold a reserve of one request, over all gateways. Shares below 1 per second would
 // serve nobody in a short outage.
 constexpr std::uint32_t kMaxReserves = 6;
+// Part of the bucket that gateways may use in the first moments without an owner. These tokens are
+// lost with the owner, so that they are not granted twice; gateways that are merely cut off from it
+// spend them beside the others.
+constexpr double kFreePart = 0.5;
+// Longer outages are left to shares and reserves.
+constexpr Duration kMaxFreeTime = std::chrono::milliseconds(2500);
 // Smaller shares are not given. Ends the renewals of gateways out of use.
 constexpr double kMinShare = 0.05;
 // Interval at which holders and buckets out of use are removed.
@@ -66,8 +74,9 @@
   if (aUntil <= aBucket.mFilledAt) {
     return;
   }
-  aBucket.mLevel +=
-    (aLimit.mRate - aBucket.mShares - aBucket.mUnknownShare) * Seconds(aUntil - aBucket.mFilledAt);
+  const double elapsed = Seconds(aUntil - aBucket.mFilledAt);
+  aBucket.mLevel += (aLimit.mRate - aBucket.mShares - aBucket.mUnknownShare) * elapsed;
+  aBucket.mRecent *= std::exp(-elapsed / Seconds(kQuotaWindow));
   aBucket.mFilledAt = aUntil;
 }
 
@@ -191,6 +200,14 @@
   return first - aNow;
 }
 
+Duration
+FreeTime(const QuotaBucket& aBucket)
+{
+  const double usable = kFreePart * std::max(0.0, aBucket.mLevel);
+  const double demand = aBucket.mRecent / Seconds(kQuotaWindow);
+  return usable >= demand * Seconds(kMaxFreeTime) ? kMaxFreeTime : FromSeconds(usable / demand);
+}
+
 QuotaGrant
 Grant(QuotaBucket& aBucket,
       const QuotaLimit& aLimit,
@@ -212,6 +229,8 @@
     grant.mGranted += static_cast<std::uint32_t>(extras);
   }
   aHolder.mRecent += grant.mGranted;
+  aBucket.mRecent += wanted + std::min(aDemand.mUsedAlone, kMaxTokens);
+  grant.mFreeTime = FreeTime(aBucket);
   return grant;
 }
 
@@ -301,8 +320,10 @@
   for (const QuotaDemand& demand : aCall.mDemands) {
     const auto limit = aLedger.mLimits.find(demand.mWorkspace);
     if (limit == aLedger.mLimits.end() || limit->second.mRate <= 0) {
-      reply.mGrants.push_back(
-        { demand.mWorkspace, std::min(demand.mWanted, kMaxTokens), {}, 0, 0 });
+      // A workspace without a limit gets all; a service that is not known has no pool.
+      const std::uint32_t granted =
+        IsExtraSendPool(demand.mWorkspace) ? 0 : std::min(demand.mWanted, kMaxTokens);
+      reply.mGrants.push_back({ demand.mWorkspace, granted, {}, 0, 0 });
       continue;
     }
     auto found = aLedger.mBuckets.find(demand.mWorkspace);
