--- a/src/extra_send_pool.h
+++ b/src/extra_send_pool.h
@@ -19,9 +19,9 @@
 // With fewer gateways, each one's part is large enough.
 inline constexpr std::size_t kMinGatewaysForPool = 16;
 // Parts of the fixed number of extra sends that gateways divide among themselves, of which they use
-// kBudgetSafetyFactor, and that the pool grants in a window. While some gateways run a build without
-// the pool, these use the whole fixed number for themselves; the sum then stays below the limit
-// unless fewer than a third of the gateways, with the pool, use all of it.
+// kBudgetSafetyFactor, and that the pool grants in a window. While some gateways run a build
+// without the pool, these use the whole fixed number for themselves; the sum then stays below the
+// limit unless fewer than a third of the gateways, with the pool, use all of it.
 inline constexpr double kOwnFixedPart = 0.3;
 inline constexpr double kPooledFixedPart = 0.5;
 
