--- a/src/locality.h
+++ b/src/locality.h
@@ -76,7 +76,7 @@
 };
 
 // The basis of aOther. The link adds the difference of the smallest ratios; aFallbackRatio if one
-// of the two was not measured.
+// of the two has too few samples.
 LoadBasis
 MakeLoadBasis(const LoadEstimate& aOwn, const LoadEstimate& aOther, double aFallbackRatio);
 
