--- a/tests/child_process.cpp
+++ b/tests/child_process.cpp
@@ -10,9 +10,11 @@
 
 namespace apricotyard {
 
-ChildProcess::ChildProcess(std::vector<std::string> aArguments, const std::filesystem::path& aLog)
+ChildProcess::ChildProcess(std::vector<std::string> aArguments,
+                           const std::filesystem::path& aLog,
+                           const std::string& aProgram)
 {
-  aArguments.insert(aArguments.begin(), "/proc/self/exe");
+  aArguments.insert(aArguments.begin(), aProgram);
   std::vector<char*> arguments;
   for (std::string& argument : aArguments) {
     arguments.push_back(argument.data());
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -10,12 +10,17 @@
 
 namespace apricotyard {
 
+inline constexpr const char* kThisProgram = "/proc/self/exe";
+
 // A child process. The destructor kills it. Not thread-safe.
 class ChildProcess
 {
 public:
-  // Starts the test program with aArguments; its output is appended to the file aLog.
-  ChildProcess(std::vector<std::string> aArguments, const std::filesystem::path& aLog);
+  // Starts the test program, or that of another build, with aArguments; its output is appended to
+  // the file aLog.
+  ChildProcess(std::vector<std::string> aArguments,
+               const std::filesystem::path& aLog,
+               const std::string& aProgram = kThisProgram);
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
--- a/tests/coordinator_process.cpp
+++ b/tests/coordinator_process.cpp
@@ -41,7 +41,10 @@
   return RunCoordinator(settings, MakeProcessProtocol(), [] { return std::nullopt; });
 }
 
-CoordinatorGroup::CoordinatorGroup(int aFirstHost, int aMembers, int aToleratedLosses)
+CoordinatorGroup::CoordinatorGroup(int aFirstHost,
+                                   int aMembers,
+                                   int aToleratedLosses,
+                                   const std::string& aProgram)
   : mFirstHost(aFirstHost)
   , mToleratedLosses(aToleratedLosses)
   , mFolder(std::filesystem::temp_directory_path() / ("apricot-coordinators-" + TestIp(aFirstHost)))
@@ -50,7 +53,7 @@
   std::filesystem::remove_all(mFolder);
   for (int member = 0; member < aMembers; ++member) {
     std::filesystem::create_directories(mFolder / Ip(member));
-    Spawn(member, true);
+    Spawn(member, true, aProgram);
   }
 }
 
@@ -81,9 +84,9 @@
 }
 
 void
-CoordinatorGroup::Start(int aMember)
+CoordinatorGroup::Start(int aMember, const std::string& aProgram)
 {
-  Spawn(aMember, false);
+  Spawn(aMember, false, aProgram);
 }
 
 void
@@ -93,7 +96,7 @@
 }
 
 void
-CoordinatorGroup::Spawn(int aMember, bool aFirstStart)
+CoordinatorGroup::Spawn(int aMember, bool aFirstStart, const std::string& aProgram)
 {
   const std::string folder = (mFolder / Ip(aMember)).string();
   std::vector<std::string> words{ kRunCoordinatorArgument,
@@ -105,7 +108,7 @@
     words.push_back(Ip(member));
   }
   mProcesses[static_cast<std::size_t>(aMember)] =
-    std::make_unique<ChildProcess>(std::move(words), folder + ".log");
+    std::make_unique<ChildProcess>(std::move(words), folder + ".log", aProgram);
 }
 
 } // namespace apricotyard
--- a/tests/coordinator_process.h
+++ b/tests/coordinator_process.h
@@ -24,7 +24,10 @@
 public:
   // Starts aMembers coordinators that are to bear the loss of aToleratedLosses. aFirstHost numbers
   // the loopback address of the first one, see TestIp. Precondition: aMembers is at least 1.
-  CoordinatorGroup(int aFirstHost, int aMembers, int aToleratedLosses);
+  CoordinatorGroup(int aFirstHost,
+                   int aMembers,
+                   int aToleratedLosses,
+                   const std::string& aProgram = kThisProgram);
   ~CoordinatorGroup();
   CoordinatorGroup(const CoordinatorGroup&) = delete;
   CoordinatorGroup& operator=(const CoordinatorGroup&) = delete;
@@ -34,12 +37,12 @@
   SocketAddress ControlAddress(int aMember) const;
   SocketAddress RpcAddress(int aMember) const;
   // Starts a member that was killed, with the files that it had.
-  void Start(int aMember);
+  void Start(int aMember, const std::string& aProgram = kThisProgram);
   // Ends a member at once and waits until it has ended.
   void Kill(int aMember);
 
 private:
-  void Spawn(int aMember, bool aFirstStart);
+  void Spawn(int aMember, bool aFirstStart, const std::string& aProgram);
 
   const int mFirstHost;
   const int mToleratedLosses;
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,7 +1,9 @@
-// Runs all registered tests, or those whose name contains the first argument. The failure of a test
-// listed in KNOWN-RED.txt ("test: CLASS::NAME") is printed, but does not fail the run.
+// Runs all registered tests, or those whose name contains the first argument. With the arguments
+// "--mixed-builds PROGRAM", runs those that need the test program of another build. The failure of
+// a test listed in KNOWN-RED.txt ("test: CLASS::NAME") is printed, but does not fail the run.
 #include "coordinator_process.h"
 #include "gateway_process.h"
+#include "mixed_builds.h"
 #include "replica_process.h"
 
 #include <cstdlib>
@@ -81,9 +83,15 @@
   // RapidCheck reads the variable at its first check. A value that is already set is kept, so that
   // a failure can be reproduced with its seed.
   setenv("RC_PARAMS", "seed=20261204 max_success=500", 0);
-  CppUnit::Test* const all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
+  const bool mixedBuilds = first == apricotyard::kMixedBuildsArgument && argc > 2;
+  if (mixedBuilds) {
+    apricotyard::SetPreviousProgram(argv[2]);
+  }
+  CppUnit::Test* const all = CppUnit::TestFactoryRegistry::getRegistry(
+                               mixedBuilds ? apricotyard::kMixedBuildsSuite : "All Tests")
+                               .makeTest();
   CppUnit::TestSuite selected("selected");
-  AddMatchingTests(all, first, selected);
+  AddMatchingTests(all, mixedBuilds ? "" : first, selected);
   CppUnit::TestResult controller;
   CppUnit::TestResultCollector collector;
   controller.addListener(&collector);
