Make the headers for replicas once for each request, and read the settings of extra sends in one place

Cause: each part of a gather parsed the caller's headers again and looked its workspace up, 36 times a request, and its key a second time although the routing table had not changed; gateways and coordinators read the table extra_sends by two copies of the code. Change: headers are kept with the request for the routing table in force; ReadExtraSendSettings.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -669,9 +669,9 @@
     return;
   }
   auto limits = LimitsOf(*document);
-  if (mSettings.mPooledExtraSends) {
+  if (mSettings.mExtraSends.mPooled) {
     for (const RoutedService& service : document->mServices) {
-      limits[ExtraSendPool(service.mName)] = ExtraSendPoolLimit(mSettings.mExtraSends);
+      limits[ExtraSendPool(service.mName)] = ExtraSendPoolLimit(mSettings.mExtraSends.mLimits);
     }
   }
   SetQuotaLimits(mQuotaLedger, std::move(limits), SteadyNow());
@@ -1374,7 +1374,6 @@
 ReadCoordinatorSettings(SettingsReader& aReader, CoordinatorSettings& aSettings)
 {
   constexpr std::int64_t kMaxPort = 65'535;
-  constexpr double kMaxFixedExtraSends = 1e6;
   aReader.Text("host", Presence::Required, 1, 64, aSettings.mHost);
   aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
   aReader.Address("control_address", Presence::Required, aSettings.mControlAddress);
@@ -1386,14 +1385,7 @@
   aReader.AddressList("seeds", Presence::Required, aSettings.mSeeds);
   aReader.Boolean("first_start", Presence::Optional, aSettings.mFirstStart);
   aReader.Integer("tolerated_losses", Presence::Optional, 0, 3, aSettings.mToleratedLosses);
-  aReader.Boolean("extra_sends.pooled", Presence::Optional, aSettings.mPooledExtraSends);
-  aReader.Number(
-    "extra_sends.fixed", Presence::Optional, 0, kMaxFixedExtraSends, aSettings.mExtraSends.mFixed);
-  aReader.Time("extra_sends.window",
-               Presence::Optional,
-               std::chrono::seconds(1),
-               std::chrono::minutes(10),
-               aSettings.mExtraSends.mWindow);
+  ReadExtraSendSettings(aReader, aSettings.mExtraSends);
   aReader.Time("address_lifetime",
                Presence::Optional,
                std::chrono::seconds(1),
--- a/src/coordinator.h
+++ b/src/coordinator.h
@@ -5,7 +5,7 @@
 #define APRICOTYARD_COORDINATOR_H
 
 #include "events.h"
-#include "extra_budget.h"
+#include "extra_send_settings.h"
 #include "platform_protocol.h"
 #include "rpc_credentials.h"
 #include "settings.h"
@@ -38,10 +38,7 @@
   // Coordinators that may fail at once, their disks included, while the routing document stays
   // safe.
   std::int64_t mToleratedLosses = 2;
-  // Limits of which the coordinators keep a pool for each service, and whether they do; see
-  // extra_send_pool.h. Must be the same on all hosts.
-  ExtraBudgetLimits mExtraSends;
-  bool mPooledExtraSends = false;
+  ExtraSendSettings mExtraSends;
   // How long callers may cache the list of gateways.
   Duration mAddressLifetime = std::chrono::seconds(4);
   std::string mCharts = "charts";
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -102,8 +102,8 @@
     RelaySettings settings;
     settings.mDataCentre = aSettings.mDataCentre;
     settings.mSourceIp = aSettings.mCallerAddress.mIp;
-    settings.mExtraSends = aSettings.mExtraSends;
-    settings.mPooledExtraSends = aSettings.mPooledExtraSends;
+    settings.mExtraSends = aSettings.mExtraSends.mLimits;
+    settings.mPooledExtraSends = aSettings.mExtraSends.mPooled;
     settings.mPricePerGb = aSettings.mPricePerGb;
     settings.mLimitLeaving = aSettings.mLimitLeaving;
     settings.mSeed = std::hash<std::string>()(aSettings.mHost);
@@ -710,7 +710,6 @@
 ReadGatewaySettings(SettingsReader& aReader, GatewaySettings& aSettings)
 {
   constexpr std::int64_t kMaxPort = 65'535;
-  constexpr double kMaxFixedExtraSends = 1e6;
   constexpr double kMaxPricePerGb = 1e6;
   aReader.Text("host", Presence::Required, 1, 64, aSettings.mHost);
   aReader.Text("data_centre", Presence::Required, 1, 64, aSettings.mDataCentre);
@@ -719,18 +718,10 @@
   aReader.Address("metrics_address", Presence::Optional, aSettings.mMetricsAddress);
   aReader.Integer("rpc_port", Presence::Required, 1, kMaxPort, aSettings.mRpcPort);
   aReader.AddressList("seeds", Presence::Required, aSettings.mSeeds);
-  aReader.Number("extra_sends.ratio", Presence::Optional, 0, 1, aSettings.mExtraSends.mRatio);
-  aReader.Time("extra_sends.window",
-               Presence::Optional,
-               std::chrono::seconds(1),
-               std::chrono::minutes(10),
-               aSettings.mExtraSends.mWindow);
-  aReader.Number(
-    "extra_sends.fixed", Presence::Optional, 0, kMaxFixedExtraSends, aSettings.mExtraSends.mFixed);
   aReader.Number(
     "locality.price_per_gb", Presence::Optional, 0, kMaxPricePerGb, aSettings.mPricePerGb);
   aReader.Boolean("locality.limit_leaving", Presence::Optional, aSettings.mLimitLeaving);
-  aReader.Boolean("extra_sends.pooled", Presence::Optional, aSettings.mPooledExtraSends);
+  ReadExtraSendSettings(aReader, aSettings.mExtraSends);
   aReader.Number("processor_share", Presence::Optional, 0.01, 1024, aSettings.mProcessorShare);
   aReader.Time("stop_grace",
                Presence::Optional,
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -3,7 +3,7 @@
 #define APRICOTYARD_GATEWAY_H
 
 #include "events.h"
-#include "extra_budget.h"
+#include "extra_send_settings.h"
 #include "platform_protocol.h"
 #include "rpc_credentials.h"
 #include "settings.h"
@@ -27,10 +27,7 @@
   std::int64_t mRpcPort = 0;
   // Addresses of some coordinators. Only the IP addresses are used; the port is mRpcPort.
   std::vector<SocketAddress> mSeeds;
-  ExtraBudgetLimits mExtraSends;
-  // Whether coordinators keep a pool of extra sends for each service; see extra_send_pool.h. Must
-  // be the same on all hosts.
-  bool mPooledExtraSends = false;
+  ExtraSendSettings mExtraSends;
   // Price of a GB to another data centre; 0 if it costs nothing.
   double mPricePerGb = 0;
   // Whether gateways limit the share of sends that leaves an overloaded data centre; see
--- a/src/relay_identity.cpp
+++ b/src/relay_identity.cpp
@@ -52,7 +52,8 @@
 bool
 Relay::State::IsRevoked(const RelayedRequest& aRelayed) const
 {
-  if (!HasWorkspaces(*mRoutingTable)) {
+  // The key was looked up in this table when the request arrived.
+  if (aRelayed.mRoutingTable == mRoutingTable || !HasWorkspaces(*mRoutingTable)) {
     return false;
   }
   const std::optional<KeyDigest> key = KeyOf(aRelayed);
--- a/src/relay_send.cpp
+++ b/src/relay_send.cpp
@@ -158,9 +158,36 @@
   mPreconnectTimer = mLoop.AddTimer(now + kPreconnectInterval, [this] { PreconnectReplicas(); });
 }
 
+std::vector<HttpHeader>
+Relay::State::ForwardedHeaders(const RelayedRequest& aRelayed) const
+{
+  const HeaderNames& names = mProtocol.mHeaders;
+  std::vector<HttpHeader> headers =
+    EndToEndHeaders(aRelayed.mRequest.mRawHeaders, aRelayed.mRequest.Header("connection"));
+  std::erase_if(headers, [&names](const HttpHeader& aHeader) {
+    return strcasecmp(aHeader.mName.c_str(), names.mTimeLeft.c_str()) == 0 ||
+           strcasecmp(aHeader.mName.c_str(), kPassedOnHeader) == 0 ||
+           strcasecmp(aHeader.mName.c_str(), names.mExpectedUpstream.c_str()) == 0;
+  });
+  return headers;
+}
+
+const std::vector<HttpHeader>&
+Relay::State::ReplicaHeaders(const RelayedRequest& aRelayed) const
+{
+  if (aRelayed.mReplicaHeadersTable != mRoutingTable) {
+    aRelayed.mReplicaHeaders = ForwardedHeaders(aRelayed);
+    IdentifyToReplica(aRelayed, aRelayed.mReplicaHeaders);
+    aRelayed.mReplicaHeadersTable = mRoutingTable;
+  }
+  return aRelayed.mReplicaHeaders;
+}
+
 // The caller's request with the time that is left, without an address.
 ClientRequest
-Relay::State::MakeForwardedRequest(const RelayedRequest& aRelayed, TimePoint aNow) const
+Relay::State::MakeForwardedRequest(const RelayedRequest& aRelayed,
+                                   std::vector<HttpHeader> aHeaders,
+                                   TimePoint aNow) const
 {
   const HeaderNames& names = mProtocol.mHeaders;
   ClientRequest request;
@@ -172,14 +199,7 @@
   request.mExpectedHeaderOptional = true;
   request.mMaxReply = kMaxReplyBytes;
   request.mTimeout = std::max<Duration>(aRelayed.mDeadline - aNow, std::chrono::milliseconds(1));
-  for (HttpHeader& header :
-       EndToEndHeaders(aRelayed.mRequest.mRawHeaders, aRelayed.mRequest.Header("connection"))) {
-    if (strcasecmp(header.mName.c_str(), names.mTimeLeft.c_str()) != 0 &&
-        strcasecmp(header.mName.c_str(), kPassedOnHeader) != 0 &&
-        strcasecmp(header.mName.c_str(), names.mExpectedUpstream.c_str()) != 0) {
-      request.mHeaders.push_back(std::move(header));
-    }
-  }
+  request.mHeaders = std::move(aHeaders);
   request.mHeaders.push_back(
     { names.mTimeLeft, std::to_string(RemainingMillis(aRelayed.mDeadline, aNow)) });
   return request;
@@ -190,11 +210,10 @@
                                  const ReplicaView& aReplica,
                                  TimePoint aNow) const
 {
-  ClientRequest request = MakeForwardedRequest(aRelayed, aNow);
+  ClientRequest request = MakeForwardedRequest(aRelayed, ReplicaHeaders(aRelayed), aNow);
   request.mAddress = aReplica.mInfo.mAddress;
   request.mMaxIdleTime =
     std::max(aReplica.mIdleTimeout - kIdleCloseMargin, std::chrono::seconds(1));
-  IdentifyToReplica(aRelayed, request.mHeaders);
   request.mHeaders.push_back({ mProtocol.mHeaders.mExpectedUpstream, aReplica.mInfo.mId });
   return request;
 }
--- a/src/relay_state.h
+++ b/src/relay_state.h
@@ -85,6 +85,9 @@
   std::uint32_t mPriority = 0;
   // Hash of the content. Computed when it is first needed; see FingerprintOf.
   mutable std::optional<Fingerprint> mContent;
+  // See ReplicaHeaders. mReplicaHeadersTable is the routing table for which they were made.
+  mutable std::vector<HttpHeader> mReplicaHeaders;
+  mutable std::shared_ptr<const RoutingTable> mReplicaHeadersTable;
   TimePoint mArrivedAt;
   TimePoint mObjectiveAt;
   TimePoint mDeadline;
@@ -299,7 +302,14 @@
   // of the replica, which would delay the first replies.
   void SchedulePreconnect();
   void PreconnectReplicas();
-  ClientRequest MakeForwardedRequest(const RelayedRequest& aRelayed, TimePoint aNow) const;
+  ClientRequest MakeForwardedRequest(const RelayedRequest& aRelayed,
+                                     std::vector<HttpHeader> aHeaders,
+                                     TimePoint aNow) const;
+  // The caller's headers that another gateway gets.
+  std::vector<HttpHeader> ForwardedHeaders(const RelayedRequest& aRelayed) const;
+  // The headers that replicas get, with the workspace of the routing table in force. Made once for
+  // all parts of a gather.
+  const std::vector<HttpHeader>& ReplicaHeaders(const RelayedRequest& aRelayed) const;
   ClientRequest MakeReplicaRequest(const RelayedRequest& aRelayed,
                                    const ReplicaView& aReplica,
                                    TimePoint aNow) const;
--- a/tests/gateway_process.cpp
+++ b/tests/gateway_process.cpp
@@ -26,7 +26,7 @@
   settings.mCallerAddress = { ip, kCallerPort };
   settings.mReadyAddress = { ip, kReadyPort };
   settings.mRpcPort = kRpcPort;
-  settings.mExtraSends = { 0.2, std::chrono::seconds(10), 50 };
+  settings.mExtraSends.mLimits = { 0.2, std::chrono::seconds(10), 50 };
   settings.mSecurity.mPlaintext = true;
   if (const auto limit = ParseDuration(aArguments[RevocationLimit]); limit && limit->count() > 0) {
     settings.mRevocationLimit = *limit;
