Take the owner of quotas out of the coordinator

Change: QuotaOwner (quota_owner), which gets the document, the registry and the leader from the coordinator; no change of behaviour.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -7,7 +7,6 @@
 #include "document_lease.h"
 #include "document_state.h"
 #include "evacuation_metrics.h"
-#include "extra_send_pool.h"
 #include "fleet.grpc.pb.h"
 #include "fleet_client.h"
 #include "fleet_messages.h"
@@ -18,8 +17,7 @@
 #include "log.h"
 #include "loop_calls.h"
 #include "metrics_page.h"
-#include "quota_client.h"
-#include "quota_messages.h"
+#include "quota_owner.h"
 #include "raft_node.h"
 #include "suspension.h"
 
@@ -72,13 +70,6 @@
 constexpr Duration kMaxStopTime = std::chrono::seconds(5);
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(25);
 constexpr Duration kAcceptCheckInterval = std::chrono::milliseconds(10);
-// Shorter than the time after which gateways give up a call.
-constexpr Duration kQuotaForwardTimeout = std::chrono::milliseconds(250);
-// A gateway that was not heard by this coordinator for this time holds no share of an owner, unless
-// it is cut off from this coordinator alone.
-constexpr Duration kMaxShareSilence = std::chrono::seconds(15);
-// Pause between two checks whether all gateways have reported. Each check goes through all of them.
-constexpr Duration kShareCheckInterval = std::chrono::milliseconds(100);
 // Sent in the Retry-After header of errors that are likely to be temporary.
 constexpr const char* kRetryAfterSeconds = "0.5";
 
@@ -129,7 +120,15 @@
     , mSettings(aSettings)
     , mProtocol(aProtocol)
     , mState([this] { OnDocumentStored(); })
-    , mQuotaChannels(aLoop, static_cast<std::uint16_t>(aSettings.mRpcPort), aSettings.mSecurity)
+    , mQuotaOwner(aLoop,
+                  aProtocol,
+                  mState,
+                  mRegistry,
+                  mMetrics,
+                  { aSettings.mControlAddress.mIp,
+                    static_cast<std::uint16_t>(aSettings.mRpcPort),
+                    aSettings.mSecurity,
+                    aSettings.mExtraSends })
   {
     mSelf.mName = aSettings.mHost;
     mSelf.mDataCentre = aSettings.mDataCentre;
@@ -148,8 +147,7 @@
   rpc::FleetSyncReply HandleSync(const rpc::FleetSyncRequest& aRequest);
   rpc::FleetJoinReply HandleJoin(const rpc::FleetJoinRequest& aRequest);
   // Grants tokens of workspaces, or forwards the call to the leader. aDone runs once at most.
-  void HandleAcquireQuota(const rpc::QuotaRequest& aRequest,
-                          std::function<void(const rpc::QuotaReply&)> aDone);
+  void HandleAcquireQuota(const rpc::QuotaRequest& aRequest, QuotaOwner::Handler aDone);
   void AddSeeds(const std::vector<SocketAddress>& aSeeds);
   void BeginStop();
   bool MayBeReplaced() const;
@@ -189,10 +187,6 @@
   std::set<std::string> LeavingCoordinators(TimePoint aNow) const;
   void UpdateMembership();
   void RequestToJoin();
-  // Starts the ledger of a new term, and takes the limits of a new document.
-  void StartQuotaTerm();
-  void PrepareQuotaLedger();
-  void EndUnknownQuotaShares();
   static std::string LeaderIp(const LogStatus& aStatus);
 
   void HandleAnnounce(const UpstreamInfo& aInfo, const HttpResponder& aRespond);
@@ -257,20 +251,7 @@
   TimePoint mLeadingSince;
   TimePoint mNextJoinRequest;
   TimePoint mLeaderKnownAt = SteadyNow();
-  // Tokens of workspaces, while this host leads, and the document that the limits are from.
-  QuotaLedger mQuotaLedger;
-  DocumentVersion mQuotaVersion = 0;
-  TimePoint mQuotaCheckAt;
-  QuotaChannels mQuotaChannels;
-  Counter& mQuotaCalls = mMetrics.AddCounter("apricot_quota_owner_calls_total",
-                                             "Calls of gateways for tokens, served by this host.");
-  Counter& mQuotaForwards =
-    mMetrics.AddCounter("apricot_quota_forwards_total",
-                        "Calls of gateways for tokens, forwarded to the leader.");
-  Counter& mQuotaGranted =
-    mMetrics.AddCounter("apricot_quota_granted_total", "Tokens granted by this host.");
-  Counter& mQuotaDenied =
-    mMetrics.AddCounter("apricot_quota_denied_total", "Requests that got no token of this host.");
+  QuotaOwner mQuotaOwner;
 };
 
 Expected<void>
@@ -407,7 +388,7 @@
   RestoreUpstreams();
   mLoop.AddPeriodic(kExpireInterval, [this] {
     ExpireRegistry(mRegistry, SteadyNow());
-    StartQuotaTerm();
+    mQuotaOwner.UpdateTerm(mLog->Status());
   });
   mLoop.AddPeriodic(kReadInterval, [this] {
     if (IsReadWanted(mReads, SteadyNow())) {
@@ -620,99 +601,11 @@
   return leader == aStatus.mMembers.end() ? "" : leader->mAddress.mIp;
 }
 
-// Gateways that were not heard for the whole window can hold no share.
 void
-Coordinator::EndUnknownQuotaShares()
-{
-  const TimePoint now = SteadyNow();
-  if (now >= mQuotaLedger.mUnknownUntil || now < mQuotaCheckAt) {
-    return;
-  }
-  mQuotaCheckAt = now + kShareCheckInterval;
-  std::vector<std::string> gateways;
-  for (const auto& [ip, known] : mRegistry.mHosts) {
-    if (known.mHost.mRole == FleetRole::Gateway && known.mHeardAt + kMaxShareSilence > now) {
-      gateways.push_back(ip);
-    }
-  }
-  EndUnknownShares(mQuotaLedger, gateways, now);
-}
-
-// The ledger starts with the term and not with the first call, so that buckets are full by the time
-// that callers come.
-void
-Coordinator::StartQuotaTerm()
-{
-  const LogStatus status = mLog->Status();
-  if (!status.mLeading || mQuotaLedger.mTerm == status.mTerm) {
-    return;
-  }
-  mQuotaLedger = StartQuotaLedger(status.mTerm, SteadyNow());
-  mQuotaVersion = 0;
-  LogEvent(Event::QuotaOwnerStarted,
-           { { "term", status.mTerm }, { "version", mState.Current().mVersion } });
-}
-
-void
-Coordinator::PrepareQuotaLedger()
-{
-  StartQuotaTerm();
-  EndUnknownQuotaShares();
-  if (mQuotaVersion == mState.Current().mVersion) {
-    return;
-  }
-  mQuotaVersion = mState.Current().mVersion;
-  const auto document = mProtocol.mDecodeDocument(mState.Current().mBytes);
-  if (!document) {
-    LogEvent(Event::QuotaLimitsUnreadable,
-             { { "version", mQuotaVersion }, { "reason", document.error().mMessage } });
-    return;
-  }
-  auto limits = LimitsOf(*document);
-  if (mSettings.mExtraSends.mPooled) {
-    for (const RoutedService& service : document->mServices) {
-      limits[ExtraSendPool(service.mName)] = ExtraSendPoolLimit(mSettings.mExtraSends.mLimits);
-    }
-  }
-  SetQuotaLimits(mQuotaLedger, std::move(limits), SteadyNow());
-}
-
-void
-Coordinator::HandleAcquireQuota(const rpc::QuotaRequest& aRequest,
-                                std::function<void(const rpc::QuotaReply&)> aDone)
+Coordinator::HandleAcquireQuota(const rpc::QuotaRequest& aRequest, QuotaOwner::Handler aDone)
 {
   const LogStatus status = mLog->Status();
-  const std::string leader = LeaderIp(status);
-  if (!status.mLeading) {
-    if (aRequest.forwarded() || leader.empty() || leader == mSelf.mIp) {
-      aDone({});
-      return;
-    }
-    mQuotaForwards.Add();
-    rpc::QuotaRequest forwarded = aRequest;
-    forwarded.set_forwarded(true);
-    mQuotaChannels.Call(leader,
-                        std::move(forwarded),
-                        kQuotaForwardTimeout,
-                        [done = std::move(aDone)](const std::optional<rpc::QuotaReply>& aReply) {
-                          done(aReply.value_or(rpc::QuotaReply()));
-                        });
-    return;
-  }
-  PrepareQuotaLedger();
-  mQuotaCalls.Add();
-  rpc::QuotaReply message;
-  if (const auto reply = AcquireQuota(mQuotaLedger, FromMessage(aRequest), SteadyNow())) {
-    ToMessage(*reply, message);
-    for (std::size_t i = 0; i < reply->mGrants.size(); ++i) {
-      const std::uint32_t wanted = aRequest.demands(static_cast<int>(i)).wanted();
-      const std::uint32_t granted = reply->mGrants[i].mGranted;
-      mQuotaGranted.Add(granted);
-      mQuotaDenied.Add(wanted - std::min(wanted, granted));
-    }
-  }
-  message.set_owner(mSelf.mIp);
-  aDone(message);
+  mQuotaOwner.Acquire(aRequest, status, LeaderIp(status), std::move(aDone));
 }
 
 // Returns the number of voters if this host is one of them, otherwise 0.
@@ -803,7 +696,7 @@
   if (auto host = FromMessage(aRequest.self())) {
     RecordHostCall(mRegistry, *host, now);
     if (host->mRole == FleetRole::Gateway) {
-      ReportShareTerm(mQuotaLedger, host->mIp, aRequest.quota_share_term(), now);
+      mQuotaOwner.RecordShareTerm(host->mIp, aRequest.quota_share_term());
       scope = aRequest.own_records_only() ? RecordScope::Own : RecordScope::All;
     } else {
       scope = RecordScope::OwnAndLeaving;
