Do not wait for stopped gateways after a change of the owner of quotas; pace calls by the largest number of gateways

Cause: a new owner of quotas charges the whole rate of a workspace until every gateway that was heard lately has reported that it holds no older share. Gateways that were stopped never report, so that the charge lasted for the whole 5 s while gateways were restarted one after the other. Change: a gateway that begins to stop gives up its shares and says so (FleetHost.quota_shares_given_up), and a new owner does not wait for it. Pauses of inactive gateways are at most 1.4 s and 4 s, those of an isolated state grow with the number of gateways, which falls only after 60 s. The time-outs are at most 4 s.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -223,7 +223,8 @@
   std::map<std::string, std::pair<ActiveCounts, TimePoint>> mRemoteActiveCounts;
   // Active gateways in all data centres.
   std::size_t mActiveGateways = 0;
-  // The answers to callers since mGatewayListsAt, by the data centre that they named.
+  // Encoded answers to callers, computed at mGatewayListsAt or later, by the data centre that they
+  // named.
   std::map<std::string, HttpResponse> mGatewayLists;
   TimePoint mGatewayListsAt{};
   std::unique_ptr<RaftNode> mLog;
@@ -1128,7 +1129,7 @@
 Coordinator::HandleFindGateways(const std::string& aDataCentre, const HttpResponder& aRespond)
 {
   const TimePoint now = SteadyNow();
-  if (mGatewayListsAt + kGatewayListLifetime <= now || mGatewayLists.size() >= kMaxGatewayLists) {
+  if (mGatewayListsAt + kGatewayListLifetime <= now) {
     mGatewayLists.clear();
     mGatewayListsAt = now;
   }
@@ -1145,6 +1146,9 @@
     aRespond(UnavailableResponse("no gateway is known"));
     return;
   }
+  if (mGatewayLists.size() >= kMaxGatewayLists) {
+    mGatewayLists.clear();
+  }
   HttpResponse& list = mGatewayLists[aDataCentre];
   list = mProtocol.mEncodeGateways(
     addresses, std::chrono::duration_cast<std::chrono::milliseconds>(mSettings.mAddressLifetime));
--- a/src/fleet_client.h
+++ b/src/fleet_client.h
@@ -71,7 +71,8 @@
   // Sets the pauses between two calls to the primary, FleetClientSettings::mPause by default, and
   // to another coordinator, which is never shorter.
   void SetPauses(const LinkPauses& aPauses);
-  // Sets the number of hosts that share the coordinators, 1 by default.
+  // Sets the number of hosts that share the coordinators. By default 1 for coordinators and
+  // kUnknownHosts for gateways.
   void SetHostCount(std::size_t aCount);
   // Immediately asks all coordinators to add this host to the control group. aIdentity is the
   // host's member identity, which includes the nonce of its disk.
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -23,6 +23,7 @@
   message.set_load(aHost.mLoad);
   message.set_ready(aHost.mReady);
   message.set_avoid_callers(aHost.mAvoidCallers);
+  message.set_quota_shares_given_up(aHost.mQuotaSharesGivenUp);
   return message;
 }
 
@@ -45,6 +46,7 @@
   host.mLoad = std::max(aMessage.load(), 0.0);
   host.mReady = aMessage.ready();
   host.mAvoidCallers = aMessage.avoid_callers();
+  host.mQuotaSharesGivenUp = aMessage.quota_shares_given_up();
   return host;
 }
 
--- a/src/fleet_registry.h
+++ b/src/fleet_registry.h
@@ -36,6 +36,8 @@
   bool mReady = false;
   // Gateways: no replica can be reached from it, or not for long.
   bool mAvoidCallers = false;
+  // Gateways: it stops, and neither holds nor takes a share of a quota any more.
+  bool mQuotaSharesGivenUp = false;
 };
 
 // A gateway or coordinator that has called this coordinator.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -31,9 +31,6 @@
 // Longer than callers keep idle connections, so that the caller closes them first.
 constexpr std::chrono::seconds kIdleTimeout{ 60 };
 constexpr Duration kExpireInterval = std::chrono::milliseconds(250);
-// If no coordinator has replied for this time, leases are not expired, because upstreams cannot
-// renew them either.
-constexpr Duration kCoordinatorSilence = std::chrono::seconds(2);
 // Time for upstreams to announce themselves again after the coordinators return.
 constexpr Duration kReannounceGrace = std::chrono::seconds(6);
 // The process stops this long before the end of the stop grace, even if requests are unfinished.
@@ -175,6 +172,8 @@
   TimePoint mCrashesReportedAt = TimePoint::min();
   // The largest of the numbers that coordinators reported.
   std::uint32_t mGatewayCount = 0;
+  HostCount mHostCount;
+  LinkPauses mPauses;
   std::uint32_t mActiveGatewayCount = 0;
   bool mActive = false;
   TimePoint mActiveSince;
@@ -367,7 +366,7 @@
 Gateway::OnSync(const std::string& aIp, const rpc::FleetSyncReply& aReply, TimePoint aSentAt)
 {
   const TimePoint now = SteadyNow();
-  if (mLastCoordinatorReplyAt + kCoordinatorSilence < now) {
+  if (mLastCoordinatorReplyAt + CoordinatorSilence(mPauses) < now) {
     mCoordinatorsReturnedAt = now;
   }
   mLastCoordinatorReplyAt = now;
@@ -490,11 +489,15 @@
     mRelay.SetActive(active);
   }
   const bool ready = active && mActiveSince + kActivationTime <= now;
-  if (gateways != mGatewayCount || ready != mSelf.mReady || changed) {
-    mGatewayCount = gateways;
-    mClient->SetHostCount(gateways);
+  mGatewayCount = gateways;
+  const std::size_t hosts = UpdateHostCount(mHostCount, gateways, now);
+  mClient->SetHostCount(hosts);
+  mPauses = GatewayPauses(active, hosts);
+  mClient->SetPauses(mPauses);
+  // Calls all coordinators. A changed number of gateways is no reason for that: all gateways learn
+  // it at the same time.
+  if (ready != mSelf.mReady || changed) {
     mSelf.mReady = ready;
-    mClient->SetPauses(GatewayPauses(active, gateways));
     mClient->SetLocalHost(mSelf);
   }
 }
@@ -630,7 +633,7 @@
 Gateway::ExpireUpstreams()
 {
   const TimePoint now = SteadyNow();
-  if (mLastCoordinatorReplyAt + kCoordinatorSilence < now ||
+  if (mLastCoordinatorReplyAt + CoordinatorSilence(mPauses) < now ||
       mCoordinatorsReturnedAt + kReannounceGrace > now) {
     return;
   }
@@ -666,9 +669,10 @@
   mStopping = true;
   mStopListeningAt = now + std::chrono::duration_cast<Duration>(usableGrace * kAcceptingShare);
   mStopAt = now + usableGrace;
+  mRelay.BeginStop(mStopAt - kAnswerReserve);
   mSelf.mServing = false;
+  mSelf.mQuotaSharesGivenUp = true;
   mClient->SetLocalHost(mSelf);
-  mRelay.BeginStop(mStopAt - kAnswerReserve);
   mLoop.AddPeriodic(kStopCheckInterval, [this] { CheckStopped(); });
 }
 
--- a/src/link_pacing.cpp
+++ b/src/link_pacing.cpp
@@ -6,29 +6,38 @@
 
 namespace {
 
-// The pauses of gateways grow with their number, so that they keep no more of a small coordinator's
-// processor than it has. A call takes about 0.2 ms of it. With pauses of at most 1 s, 1 s and 4 s,
-// 300 gateways kept 5 coordinators of 0.15 of a core at 91 % of it, and no document was accepted.
+// The pauses of gateways grow with their number, which limits the processor time that their calls
+// take on a coordinator, about 0.2 ms each. With pauses of at most 1 s (active, secondary) and 1 s
+// (inactive, primary), 300 gateways used 91% of 5 coordinators with 0.15 of a core each, and no
+// document was accepted.
 struct PauseRange
 {
   Duration mPerGateway;
   Duration mShortest;
   Duration mLongest;
 };
-// Pause of few active gateways for coordinators other than the primary.
-constexpr PauseRange kFewGateways{ std::chrono::milliseconds(25),
-                                   kFleetSyncPause,
-                                   std::chrono::milliseconds(1000) };
-// The same for many.
-constexpr PauseRange kManyGateways{ std::chrono::milliseconds(7), {}, std::chrono::seconds(4) };
-// Pauses of the other gateways. They are long enough that such gateways cost little, and short
-// enough that one becomes active soon after callers need it.
+// Pause of active gateways for coordinators other than the primary. The larger one of the two
+// applies; they meet at 143 gateways.
+constexpr PauseRange kActiveSecondary{ std::chrono::milliseconds(25),
+                                       kFleetSyncPause,
+                                       std::chrono::milliseconds(1000) };
+constexpr PauseRange kActiveSecondaryOfMany{ std::chrono::milliseconds(7),
+                                             {},
+                                             std::chrono::seconds(4) };
+// Pauses of inactive gateways. They are long enough that such gateways cost little, and short
+// enough that one becomes active soon after callers need it. The primary's pause, kReadInterval and
+// kLeaseMargin fit into kMinRevocationLimit, and the other one into the window of quotas, after
+// whose end a report of shares comes too late.
 constexpr PauseRange kInactivePrimary{ std::chrono::milliseconds(5),
                                        std::chrono::seconds(1),
-                                       std::chrono::seconds(3) };
-constexpr PauseRange kInactiveSecondary{ std::chrono::milliseconds(20),
-                                         std::chrono::seconds(4),
-                                         std::chrono::seconds(12) };
+                                       std::chrono::milliseconds(1400) };
+constexpr Duration kInactiveSecondary = std::chrono::seconds(4);
+constexpr PauseRange kIsolated{ std::chrono::milliseconds(7),
+                                std::chrono::seconds(1),
+                                std::chrono::seconds(4) };
+constexpr Duration kMinCoordinatorSilence = std::chrono::seconds(2);
+// Retry pause and round trip after a lost call.
+constexpr Duration kRetryTime = std::chrono::milliseconds(200);
 // First pause after a failed call to a near coordinator, and the longest one. Each failure doubles
 // the pause.
 constexpr Duration kMinNearRetry = std::chrono::milliseconds(60);
@@ -53,9 +62,11 @@
 // Time in which a coordinator with 0.15 of a core accepts the connection of one host.
 constexpr Duration kAcceptTime = std::chrono::milliseconds(30);
 constexpr Duration kMinConnectTimeout = std::chrono::milliseconds(2500);
-constexpr Duration kMinReplacementTime = std::chrono::milliseconds(1400);
-// Bounds both, so that a host finds a coordinator soon after the network between them is back.
-constexpr Duration kMaxBusyTime = std::chrono::seconds(8);
+// Two failed calls.
+constexpr Duration kMinReplacementTime = 2 * kCallTimeout;
+// Upper limit of both times. Where the network drops the first packet of a connection, it is sent
+// again after 1 s and 3 s, and after 4 s more the host had better open a new one.
+constexpr Duration kMaxAcceptAllTime = std::chrono::seconds(4);
 constexpr Duration kSeedInterval = std::chrono::milliseconds(400);
 constexpr Duration kSeedSpread = std::chrono::milliseconds(500);
 
@@ -68,12 +79,12 @@
 
 // Returns the time in which a coordinator accepts the connections of all hosts.
 Duration
-BusyTime(std::size_t aHosts)
+AcceptAllTime(std::size_t aHosts)
 {
   if (aHosts == kUnknownHosts) {
-    return kMaxBusyTime;
+    return kMaxAcceptAllTime;
   }
-  return std::min(kMaxBusyTime, kAcceptTime * static_cast<std::int64_t>(aHosts));
+  return std::min(kMaxAcceptAllTime, kAcceptTime * static_cast<std::int64_t>(aHosts));
 }
 
 } // namespace
@@ -81,23 +92,40 @@
 Duration
 ConnectTimeout(std::size_t aHosts)
 {
-  return std::max(kMinConnectTimeout, BusyTime(aHosts));
+  return std::max(kMinConnectTimeout, AcceptAllTime(aHosts));
 }
 
 Duration
 ReplacementTime(std::size_t aHosts)
 {
-  return std::max(kMinReplacementTime, BusyTime(aHosts));
+  return std::max(kMinReplacementTime, AcceptAllTime(aHosts));
 }
 
 LinkPauses
 GatewayPauses(bool aActive, std::size_t aGateways)
 {
+  const Duration isolated = PauseOf(kIsolated, aGateways);
   if (aActive) {
-    return { kFleetSyncPause,
-             std::max(PauseOf(kFewGateways, aGateways), PauseOf(kManyGateways, aGateways)) };
+    const Duration secondary =
+      std::max(PauseOf(kActiveSecondary, aGateways), PauseOf(kActiveSecondaryOfMany, aGateways));
+    return { kFleetSyncPause, secondary, isolated };
   }
-  return { PauseOf(kInactivePrimary, aGateways), PauseOf(kInactiveSecondary, aGateways) };
+  return { PauseOf(kInactivePrimary, aGateways), kInactiveSecondary, isolated };
+}
+
+Duration
+CoordinatorSilence(const LinkPauses& aPauses)
+{
+  return std::max(kMinCoordinatorSilence, aPauses.mPrimary + kCallTimeout + kRetryTime);
+}
+
+std::size_t
+UpdateHostCount(HostCount& aCount, std::size_t aReported, TimePoint aNow)
+{
+  if (aReported >= aCount.mHosts || aCount.mReportedAt + kHostCountLifetime <= aNow) {
+    aCount = { aReported, aNow };
+  }
+  return aCount.mHosts;
 }
 
 Duration
@@ -107,7 +135,7 @@
     return aPauses.mPrimary;
   }
   const Duration longest =
-    aStatus.mPrimaryUpToDate ? aPauses.mSecondary : std::min(aPauses.mSecondary, kMaxIsolatedPause);
+    aStatus.mPrimaryUpToDate ? aPauses.mSecondary : std::min(aPauses.mSecondary, aPauses.mIsolated);
   return std::max(aPauses.mPrimary, longest);
 }
 
--- a/src/link_pacing.h
+++ b/src/link_pacing.h
@@ -39,6 +39,8 @@
   Duration mPrimary{};
   // Between calls to the others while the primary is up to date.
   Duration mSecondary{};
+  // Longest pause between calls to the others while the primary may lack changes that they have.
+  Duration mIsolated = std::chrono::seconds(1);
 };
 
 // Default pause between two calls to the same coordinator. A change that a coordinator holds
@@ -51,8 +53,25 @@
 LinkPauses
 GatewayPauses(bool aActive, std::size_t aGateways);
 
-// Longest pause for the others while the primary may lack changes that they have.
-inline constexpr Duration kMaxIsolatedPause = std::chrono::milliseconds(1000);
+// Returns the time without a reply of any coordinator after which the leases of upstreams are not
+// expired, because upstreams cannot renew them either. It allows for the loss of one call.
+Duration
+CoordinatorSilence(const LinkPauses& aPauses);
+
+// Number of hosts on which pauses and time limits are based.
+struct HostCount
+{
+  std::size_t mHosts = kUnknownHosts;
+  // When the number was reported last.
+  TimePoint mReportedAt;
+};
+
+// Takes a reported number of hosts and returns the one to be used. It rises at once and falls after
+// kHostCountLifetime: coordinators that have just started know few hosts while all connect to them.
+std::size_t
+UpdateHostCount(HostCount& aCount, std::size_t aReported, TimePoint aNow);
+
+inline constexpr Duration kHostCountLifetime = std::chrono::seconds(60);
 
 // Time limit of a call on an open connection. It allows for several round trips between data
 // centres.
--- a/src/quota_owner.cpp
+++ b/src/quota_owner.cpp
@@ -12,8 +12,8 @@
 
 // Shorter than the time after which gateways give up a call.
 constexpr Duration kForwardTimeout = std::chrono::milliseconds(250);
-// A gateway that was not heard by this coordinator for this time holds no share of an owner, unless
-// it is cut off from this coordinator alone.
+// The report of a gateway that was not heard by this coordinator for this time is not waited for.
+// It holds no share of an owner, unless it is cut off from this coordinator alone.
 constexpr Duration kMaxShareSilence = std::chrono::seconds(15);
 // Pause between two checks whether all gateways have reported. Each check goes through all of them.
 constexpr Duration kShareCheckInterval = std::chrono::milliseconds(100);
@@ -127,7 +127,19 @@
   SetQuotaLimits(mLedger, std::move(limits), SteadyNow());
 }
 
-// Gateways that were not heard for the whole window can hold no share.
+std::vector<std::string>
+PossibleShareHolders(const FleetRegistry& aRegistry, TimePoint aNow)
+{
+  std::vector<std::string> gateways;
+  for (const auto& [ip, known] : aRegistry.mHosts) {
+    if (known.mHost.mRole == FleetRole::Gateway && !known.mHost.mQuotaSharesGivenUp &&
+        known.mHeardAt + kMaxShareSilence > aNow) {
+      gateways.push_back(ip);
+    }
+  }
+  return gateways;
+}
+
 void
 QuotaOwner::EndUnknownShares()
 {
@@ -136,13 +148,7 @@
     return;
   }
   mSharesCheckedAt = now;
-  std::vector<std::string> gateways;
-  for (const auto& [ip, known] : mRegistry.mHosts) {
-    if (known.mHost.mRole == FleetRole::Gateway && known.mHeardAt + kMaxShareSilence > now) {
-      gateways.push_back(ip);
-    }
-  }
-  apricotyard::EndUnknownShares(mLedger, gateways, now);
+  apricotyard::EndUnknownShares(mLedger, PossibleShareHolders(mRegistry, now), now);
 }
 
 } // namespace apricotyard
--- a/src/quota_owner.h
+++ b/src/quota_owner.h
@@ -15,6 +15,12 @@
 
 namespace apricotyard {
 
+// Returns the gateways that may hold a share of a previous owner. Those that stop have given theirs
+// up: a new owner that waited for them would grant little for a whole window while gateways are
+// restarted one after the other.
+std::vector<std::string>
+PossibleShareHolders(const FleetRegistry& aRegistry, TimePoint aNow);
+
 struct QuotaOwnerSettings
 {
   // IP address of this host, and the port of Fleet on all coordinators.
--- a/src/quota_share.cpp
+++ b/src/quota_share.cpp
@@ -131,6 +131,16 @@
   }
 }
 
+void
+DropShare(WorkspaceQuota& aQuota)
+{
+  aQuota.mShare = 0;
+  aQuota.mShareUntil = {};
+  aQuota.mCredit = 0;
+  aQuota.mReserve = 0;
+  aQuota.mFreeTime = Duration::zero();
+}
+
 QuotaOutcome
 ApplyGrant(QuotaShare& aShare, const QuotaDemand& aDemand, const QuotaGrant& aGrant, TimePoint aNow)
 {
@@ -146,6 +156,9 @@
   quota.mFreeUsed = 0;
   quota.mCredit = 0;
   quota.mCreditAt = aNow;
+  if (aShare.mSharesGivenUp) {
+    DropShare(quota);
+  }
   QuotaOutcome outcome;
   outcome.mWorkspace = aDemand.mWorkspace;
   outcome.mGranted = std::min(aGrant.mGranted, aDemand.mWanted);
@@ -229,6 +242,15 @@
   HoldTokens(aShare.mWorkspaces[aWorkspace], 1, aNow);
 }
 
+void
+GiveUpShares(QuotaShare& aShare)
+{
+  aShare.mSharesGivenUp = true;
+  for (auto& [name, quota] : aShare.mWorkspaces) {
+    DropShare(quota);
+  }
+}
+
 std::uint64_t
 OldestShareTerm(const QuotaShare& aShare, TimePoint aNow)
 {
--- a/src/quota_share.h
+++ b/src/quota_share.h
@@ -78,6 +78,8 @@
   TimePoint mRenewalAt = TimePoint::max();
   // Requests that passed by a share are to be reported now.
   bool mReportDue = false;
+  // No share is taken any more, because the process stops.
+  bool mSharesGivenUp = false;
 };
 
 enum class QuotaDecision : std::uint8_t
@@ -128,6 +130,10 @@
 void
 KeepToken(QuotaShare& aShare, const std::string& aWorkspace, TimePoint aNow);
 
+// Drops all shares and takes no further ones. Requests need a token of the owner from then on.
+void
+GiveUpShares(QuotaShare& aShare);
+
 // Returns the term of the oldest share that has not lapsed, or 0 if there is none.
 std::uint64_t
 OldestShareTerm(const QuotaShare& aShare, TimePoint aNow);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -131,6 +131,7 @@
 {
   mState->mStopping = true;
   mState->mFinishBy = aFinishBy;
+  GiveUpShares(mState->mQuota.mShare);
   mState->mLoop.CancelTimer(mState->mPreconnectTimer);
 }
 
--- a/tests/quota_model.cpp
+++ b/tests/quota_model.cpp
@@ -28,7 +28,6 @@
     mGateways[i].mShare.mGateway = std::to_string(i);
     mGateways[i].mShare.mIncarnation = ++mProcesses;
     mGateways[i].mRate = mLimit.mRate;
-    mNames.push_back(std::to_string(i));
     At(mNow + std::chrono::duration_cast<Duration>(kSyncPause * Random()),
        [this, i] { Synchronize(i); });
   }
@@ -86,6 +85,16 @@
   });
 }
 
+void
+QuotaModel::StopGateway(Duration aAt, std::size_t aGateway)
+{
+  At(kModelStart + aAt, [this, aGateway] { GiveUpShares(mGateways[aGateway].mShare); });
+  RestartGateway(aAt + kModelStopTime, aGateway);
+  At(kModelStart + aAt + kModelStopTime, [this, aGateway] { mGateways[aGateway].mDown = true; });
+  At(kModelStart + aAt + kModelStopTime + kModelDownTime,
+     [this, aGateway] { mGateways[aGateway].mDown = false; });
+}
+
 void
 QuotaModel::ChangeLimit(Duration aAt, const QuotaLimit& aLimit, Duration aSpread)
 {
@@ -138,6 +147,9 @@
   const std::size_t index =
     std::uniform_int_distribution<std::size_t>(0, mSettings.mUsedGateways - 1)(mRng);
   Gateway& gateway = mGateways[index];
+  if (gateway.mDown) {
+    return;
+  }
   mArrived.push_back(mNow);
   switch (TakeToken(gateway.mShare, kWorkspace, gateway.mRate, mNow)) {
     case QuotaDecision::Granted:
@@ -179,10 +191,20 @@
 QuotaModel::Synchronize(std::size_t aGateway)
 {
   At(mNow + kSyncPause, [this, aGateway] { Synchronize(aGateway); });
-  if (mOwner && !IsCutOff(aGateway)) {
-    Gateway& gateway = mGateways[aGateway];
+  Gateway& gateway = mGateways[aGateway];
+  if (IsCutOff(aGateway) || gateway.mDown) {
+    return;
+  }
+  gateway.mKnownToStop = gateway.mShare.mSharesGivenUp;
+  if (mOwner) {
     ReportShareTerm(*mOwner, gateway.mShare.mGateway, OldestShareTerm(gateway.mShare, mNow), mNow);
-    EndUnknownShares(*mOwner, mNames, mNow);
+    std::vector<std::string> names;
+    for (const Gateway& known : mGateways) {
+      if (!known.mKnownToStop) {
+        names.push_back(known.mShare.mGateway);
+      }
+    }
+    EndUnknownShares(*mOwner, names, mNow);
   }
 }
 
--- a/tests/quota_model.h
+++ b/tests/quota_model.h
@@ -32,6 +32,9 @@
   double mNotRun = 0;
 };
 
+inline constexpr Duration kModelStopTime = std::chrono::milliseconds(1500);
+inline constexpr Duration kModelDownTime = std::chrono::milliseconds(6000);
+
 class QuotaModel
 {
 public:
@@ -42,6 +45,9 @@
   // Cuts the gateways with an index from aFirst up to aLast off from the owner.
   void CutOff(Duration aFrom, Duration aUntil, std::size_t aFirst, std::size_t aLast);
   void RestartGateway(Duration aAt, std::size_t aGateway);
+  // The gateway begins to stop at aAt, ends after kModelStopTime and starts again after
+  // kModelDownTime. Coordinators learn that it stops with its next synchronization.
+  void StopGateway(Duration aAt, std::size_t aGateway);
   // The owner gets the limit at aAt, and each gateway up to aSpread later.
   void ChangeLimit(Duration aAt, const QuotaLimit& aLimit, Duration aSpread);
   // Callers pause between the two times.
@@ -79,6 +85,9 @@
     TimePoint mPollAt = TimePoint::max();
     // Arrivals that wait for a token.
     std::vector<TimePoint> mWaiting;
+    bool mDown = false;
+    // What coordinators know of it.
+    bool mKnownToStop = false;
   };
 
   void At(TimePoint aAt, Task aTask);
@@ -102,7 +111,6 @@
   std::uint64_t mEvents = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> mQueue;
   std::vector<Gateway> mGateways;
-  std::vector<std::string> mNames;
   std::optional<QuotaLedger> mOwner;
   std::uint64_t mTerm = 0;
   std::uint64_t mProcesses = 0;
--- a/tests/test_fleet_capacity.cpp
+++ b/tests/test_fleet_capacity.cpp
@@ -107,7 +107,7 @@
                                  connection / std::chrono::microseconds(1));
       }
       CPPUNIT_ASSERT_MESSAGE(std::to_string(call / std::chrono::microseconds(1)),
-                             call < milliseconds(1));
+                             call < std::chrono::microseconds(800));
       CPPUNIT_ASSERT_MESSAGE(std::to_string(connection / std::chrono::microseconds(1)),
                              connection < milliseconds(5));
     }
--- a/tests/test_fleet_registry.cpp
+++ b/tests/test_fleet_registry.cpp
@@ -1,7 +1,9 @@
 // Tests that upstreams are not listed after they left, and that gateways which have left or stopped
 // calling are not named to callers.
+#include "fleet_messages.h"
 #include "fleet_registry.h"
 #include "latest_file.h"
+#include "quota_owner.h"
 
 #include <cstdio>
 #include <set>
@@ -44,6 +46,7 @@
 {
   FleetHost host;
   host.mIp = aIp;
+  host.mPublicAddress = { aIp, 80 };
   host.mDataCentre = aDataCentre;
   host.mIncarnation = 1;
   host.mServing = true;
@@ -66,6 +69,7 @@
   CPPUNIT_TEST(UpstreamsWithoutRenewalsExpire);
   CPPUNIT_TEST(StaleAndLeavingGatewaysAreNotNamed);
   CPPUNIT_TEST(SlowGatewaysAreNamedForThreePauses);
+  CPPUNIT_TEST(StoppingGatewaysHoldNoShares);
   CPPUNIT_TEST(CallOfAnEarlierProcessIsIgnored);
   CPPUNIT_TEST(GatewaysWithoutReplicasAreNamedOnlyIfAllAre);
   CPPUNIT_TEST(HintFileKeepsTheLastVersion);
@@ -273,6 +277,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, PreferredGateways({ &cutOff, &sound }).size());
   }
 
+  // Guards against a new owner of quotas that waits for gateways which were stopped, and against
+  // one that does not wait for their successors.
+  void StoppingGatewaysHoldNoShares()
+  {
+    FleetRegistry registry = MakeRegistry("c1");
+    FleetHost gateway = MakeGateway("10.0.0.1", "a");
+    RecordHostCall(registry, gateway, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, PossibleShareHolders(registry, kStart).size());
+    gateway.mQuotaSharesGivenUp = true;
+    const auto received = FromMessage(ToMessage(gateway));
+    CPPUNIT_ASSERT(received);
+    RecordHostCall(registry, *received, kStart);
+    CPPUNIT_ASSERT(PossibleShareHolders(registry, kStart).empty());
+    ++gateway.mIncarnation;
+    gateway.mQuotaSharesGivenUp = false;
+    RecordHostCall(registry, gateway, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, PossibleShareHolders(registry, kStart).size());
+    CPPUNIT_ASSERT(PossibleShareHolders(registry, kStart + seconds(16)).empty());
+  }
+
   void CallOfAnEarlierProcessIsIgnored()
   {
     FleetRegistry registry = MakeRegistry("c1");
--- a/tests/test_link_pacing.cpp
+++ b/tests/test_link_pacing.cpp
@@ -1,6 +1,8 @@
 // Plays the return of a coordinator to which hundreds of hosts connect at once. Guards against
 // hosts that give up connections which the coordinator is still accepting, so that it serves none.
+#include "document_lease.h"
 #include "link_pacing.h"
+#include "quota_ledger.h"
 
 #include <algorithm>
 #include <functional>
@@ -176,6 +178,7 @@
   CPPUNIT_TEST(PausesFollowTheState);
   CPPUNIT_TEST(RetriesBackOff);
   CPPUNIT_TEST(GatewaysCallLessOftenTheMoreTheyAre);
+  CPPUNIT_TEST(NumberOfHostsRisesAtOnceAndFallsLater);
   CPPUNIT_TEST(HostsWaitForABusyCoordinator);
   CPPUNIT_TEST(GroupElectsItsLeaderBeforeHostsConnect);
   CPPUNIT_TEST(HalfOfTheHostsAreServedSoonAfterACommonStart);
@@ -213,14 +216,14 @@
     CPPUNIT_ASSERT(RegularPause(status, pauses) == milliseconds(4000));
     // Without an up-to-date primary, changes must come from the others.
     status.mPrimaryUpToDate = false;
-    CPPUNIT_ASSERT(RegularPause(status, pauses) == kMaxIsolatedPause);
+    CPPUNIT_ASSERT(RegularPause(status, pauses) == pauses.mIsolated);
     // The secondary pause is not set.
     CPPUNIT_ASSERT(RegularPause(status, { milliseconds(250), {} }) == milliseconds(250));
   }
 
   // Guards against a coordinator that spends its processor on calls of gateways. A call takes about
-  // 0.2 ms of it, and a coordinator has 0.15 of a core; with pauses of at most 1 s, 1 s and 4 s,
-  // 300 gateways of 5 coordinators made 264 calls a second to each.
+  // 0.2 ms of it, and control may take 4.1% of a core. With 264 calls a second, 300 gateways kept 5
+  // coordinators with 0.15 of a core from accepting documents.
   void GatewaysCallLessOftenTheMoreTheyAre()
   {
     constexpr double kActiveShare = 0.4;
@@ -228,28 +231,52 @@
     const auto rate = [](Duration aPause) {
       return seconds(1) / std::chrono::duration<double>(aPause);
     };
-    LinkPauses before[2]{};
+    constexpr double kMaxCalls = 0.041 / 0.0002;
+    constexpr double kOverload = 264;
+    LinkPauses previousActive;
+    LinkPauses previousInactive;
     for (const std::size_t gateways : { 1, 9, 40, 100, 191, 300, 780 }) {
       const LinkPauses active = GatewayPauses(true, gateways);
       const LinkPauses inactive = GatewayPauses(false, gateways);
       // Changes reach callers through the primary.
       CPPUNIT_ASSERT(active.mPrimary == kFleetSyncPause);
-      CPPUNIT_ASSERT(inactive.mPrimary <= seconds(3));
-      CPPUNIT_ASSERT(active.mSecondary >= before[0].mSecondary);
-      CPPUNIT_ASSERT(inactive.mSecondary >= before[1].mSecondary);
-      before[0] = active;
-      before[1] = inactive;
+      CPPUNIT_ASSERT(inactive.mPrimary + kReadInterval + kLeaseMargin < kMinRevocationLimit);
+      // A report of quota shares counts within the window, from 0.6 s after the owner's start.
+      CPPUNIT_ASSERT(inactive.mSecondary + kCallTimeout < kQuotaWindow);
+      CPPUNIT_ASSERT(inactive.mPrimary + kCallTimeout < CoordinatorSilence(inactive));
+      CPPUNIT_ASSERT(active.mSecondary >= previousActive.mSecondary);
+      CPPUNIT_ASSERT(inactive.mSecondary >= previousInactive.mSecondary);
+      previousActive = active;
+      previousInactive = inactive;
       const double near = static_cast<double>(gateways) / kCoordinatorCount;
       const double far = static_cast<double>(gateways) - near;
       const double calls =
         kActiveShare * (near * rate(active.mPrimary) + far * rate(active.mSecondary)) +
         (1 - kActiveShare) * (near * rate(inactive.mPrimary) + far * rate(inactive.mSecondary));
       if (gateways <= 300) {
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(calls), calls < 200);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(calls), calls < kMaxCalls);
+        // One coordinator is lost, so that the others may lack changes of its gateways.
+        const double isolated =
+          kActiveShare * (near * rate(active.mPrimary) +
+                          far * rate(std::min(active.mSecondary, active.mIsolated))) +
+          (1 - kActiveShare) * (near * rate(inactive.mPrimary) + far * rate(inactive.mIsolated));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(isolated), isolated < kOverload);
       }
     }
   }
 
+  // Guards against pauses and time limits for few hosts just after all coordinators have restarted,
+  // which know few hosts then.
+  void NumberOfHostsRisesAtOnceAndFallsLater()
+  {
+    HostCount count;
+    const TimePoint start{ seconds(1000) };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 40 }, UpdateHostCount(count, 40, start));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 300 }, UpdateHostCount(count, 300, start + seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 300 }, UpdateHostCount(count, 3, start + seconds(60)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, UpdateHostCount(count, 3, start + seconds(61)));
+  }
+
   // Guards against hosts that give up while a coordinator is still accepting others, each of which
   // then costs it a further connection.
   void HostsWaitForABusyCoordinator()
@@ -262,7 +289,7 @@
     // A host that has just started does not know how many others there are.
     CPPUNIT_ASSERT(ConnectTimeout(kUnknownHosts) == ConnectTimeout(780));
     // The network between two hosts may come back at any time.
-    CPPUNIT_ASSERT(ConnectTimeout(100'000) <= seconds(8));
+    CPPUNIT_ASSERT(ConnectTimeout(100'000) <= seconds(4));
     LinkStatus status;
     status.mNear = false;
     status.mHosts = kUnknownHosts;
--- a/tests/test_quota_model.cpp
+++ b/tests/test_quota_model.cpp
@@ -81,6 +81,13 @@
   for (std::size_t i = aDraw.Index(0, 4); i > 0; --i) {
     aModel.RestartGateway(aDraw.Time(seconds(1), length), aDraw.Index(0, aSettings.mGateways - 1));
   }
+  if (aDraw.Index(0, 2) == 0) {
+    const Duration step = aDraw.Time(milliseconds(200), seconds(2));
+    Duration at = aDraw.Time(seconds(0), seconds(8));
+    for (std::size_t i = 0; i < aSettings.mGateways && at < length; ++i, at += step) {
+      aModel.StopGateway(at, i);
+    }
+  }
   if (aDraw.Index(0, 2) == 0) {
     const Duration from = aDraw.Time(seconds(1), length);
     aModel.PauseCallers(from, from + aDraw.Time(milliseconds(200), seconds(6)));
@@ -108,6 +115,7 @@
   CPPUNIT_TEST(LoweredLimitHoldsAfterOneWindow);
   CPPUNIT_TEST(OwedRequestsPassWhileAllLinksAreUp);
   CPPUNIT_TEST(HalfPassesWhileTheOwnerIsCutOff);
+  CPPUNIT_TEST(StoppedGatewaysDoNotDelayANewOwner);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -209,6 +217,42 @@
       std::cout << fmt::format("owner cut off for 1 s: {:.3f} passed in the worst seed\n", worst);
     }
   }
+
+  // Guards against a new owner that waits for reports of gateways which were stopped before its
+  // start, while gateways are restarted one after the other. It then grants little for the whole
+  // window. Requests at gateways that are down do not count. A single seed owes too few requests
+  // for a bound of its own.
+  void StoppedGatewaysDoNotDelayANewOwner()
+  {
+    double passedAll = 0;
+    double owedAll = 0;
+    for (std::uint64_t seed = 1; seed <= kHealthySeeds; ++seed) {
+      Draw draw(seed);
+      QuotaModelSettings settings;
+      settings.mSeed = seed;
+      settings.mLimit.mRate = draw.One({ 10.0, 40.0, 100.0 });
+      settings.mLimit.mBurst = settings.mLimit.mRate * draw.One({ 0.2, 1.0 });
+      settings.mDemand = settings.mLimit.mRate * draw.One({ 0.5, 0.8 });
+      QuotaModel model(settings);
+      for (std::size_t i = 0; i < 30; ++i) {
+        model.StopGateway(seconds(4) + i * milliseconds(400), i);
+      }
+      constexpr Duration kLeaderLost = seconds(8);
+      constexpr Duration kGap = milliseconds(500);
+      constexpr Duration kFrom = kLeaderLost + kGap + milliseconds(1700);
+      constexpr Duration kUntil = kLeaderLost + kGap + seconds(5);
+      model.ChangeLeader(kLeaderLost, kGap);
+      model.Run();
+      passedAll += static_cast<double>(model.PassedOf(kFrom, kUntil));
+      owedAll += static_cast<double>(model.Owed(settings.mLimit, kFrom, kUntil));
+    }
+    CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of {} passed", passedAll, owedAll),
+                           passedAll >= 0.95 * owedAll);
+    if (std::getenv("APRICOT_FIGURES") != nullptr) {
+      std::cout << fmt::format("new owner while gateways stop: {:.3f} passed\n",
+                               passedAll / owedAll);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaModelTest);
