Test that the state of an earlier term is not called current

Cause: with the comparison of terms removed from FleetSyncReply.current no test failed. Between processes the state follows within milliseconds, so LaggingMemberIsNotCurrentBeforeItHasTheOrder can miss it. Change: the condition is the function IsStateCurrent, which a test without processes checks. Measured: StateOfAnEarlierTermIsNotCurrent passes, and fails with the comparison removed.

--- a/src/coordinator.cpp
+++ b/src/coordinator.cpp
@@ -723,10 +723,7 @@
   rpc::FleetSyncReply reply;
   *reply.mutable_self() = ToMessage(mSelf);
   const LogStatus status = mLog->Status();
-  // A member that hears a leader but has applied nothing of its term may lack what was acknowledged
-  // before the group was restarted.
-  reply.set_current((status.mLeading || !status.mLeader.empty()) &&
-                    status.mAppliedTerm == status.mTerm);
+  reply.set_current(IsStateCurrent(status));
   reply.set_voters(CountVotersIfVoter(status));
   reply.set_voter_list(status.mMembersIndex);
   if (!aRequest.self().coordinator()) {
--- a/src/document_state.cpp
+++ b/src/document_state.cpp
@@ -166,6 +166,12 @@
   return begun;
 }
 
+bool
+IsStateCurrent(const LogStatus& aStatus)
+{
+  return (aStatus.mLeading || !aStatus.mLeader.empty()) && aStatus.mAppliedTerm == aStatus.mTerm;
+}
+
 DocumentState::DocumentState(std::function<void()> aOnChange)
   : mOnChange(std::move(aOnChange))
 {
--- a/src/document_state.h
+++ b/src/document_state.h
@@ -41,6 +41,12 @@
 std::set<std::string>
 EvacuationsBegunBy(std::span<const std::string> aCommands);
 
+// Whether the state of this member includes everything that was acknowledged before the present
+// leader was elected. A member that hears a leader but has applied nothing of its term may lack
+// what was acknowledged before the group was restarted.
+bool
+IsStateCurrent(const LogStatus& aStatus);
+
 class DocumentState
 {
 public:
--- a/tests/test_evacuation.cpp
+++ b/tests/test_evacuation.cpp
@@ -416,6 +416,7 @@
   CPPUNIT_TEST(AcknowledgedOrderSurvivesRestartOfAllCoordinators);
   CPPUNIT_TEST(AcknowledgedOrderIsKnownWithoutLeader);
   CPPUNIT_TEST(LaggingMemberIsNotCurrentBeforeItHasTheOrder);
+  CPPUNIT_TEST(StateOfAnEarlierTermIsNotCurrent);
   CPPUNIT_TEST(NoRequestReachesAnEvacuatedReplica);
   CPPUNIT_TEST(DataCentreReturnsWarmingUp);
   CPPUNIT_TEST(AcknowledgedOrderSurvivesReplacementOfTheLeader);
@@ -707,6 +708,22 @@
     }));
   }
 
+  // Guards against a starting gateway that adopts the state of a member which hears the leader but
+  // lacks an acknowledged order or document. Between processes this lasts only milliseconds.
+  void StateOfAnEarlierTermIsNotCurrent()
+  {
+    LogStatus status;
+    status.mTerm = 3;
+    status.mAppliedTerm = 3;
+    CPPUNIT_ASSERT(!IsStateCurrent(status));
+    status.mLeader = "c1";
+    CPPUNIT_ASSERT(IsStateCurrent(status));
+    status.mAppliedTerm = 2;
+    CPPUNIT_ASSERT(!IsStateCurrent(status));
+    status.mLeading = true;
+    CPPUNIT_ASSERT(!IsStateCurrent(status));
+  }
+
   // With processes of all kinds: gateways learn of the order in time, and again after a power loss.
   // The replica goes on announcing itself.
   void NoRequestReachesAnEvacuatedReplica()
