Test decisions of the queue, the gather guard, the pool and pacing

Change: tests of the decisions without a network. Not detected still: the virtual time of an idle priority that is not reset (only an offset of all tags) and one that is not restored after an attempt (Restore).

--- a/tests/test_extra_send_pool.cpp
+++ b/tests/test_extra_send_pool.cpp
@@ -175,6 +175,11 @@
   // Load: every gateway asks for more than the pool has, all the time.
   void GatewaysAndPoolStayWithinTheLimit()
   {
+    // The burst and what accrues in a window, which the load below reaches only in part.
+    const QuotaLimit limit = ExtraSendPoolLimit(Limits());
+    const double window = std::chrono::duration<double>(Limits().mWindow).count();
+    CPPUNIT_ASSERT(limit.mBurst + limit.mRate * window <=
+                   kPooledFixedPart * Limits().mFixed + 1e-9);
     const std::string pool = ExtraSendPool("s");
     QuotaLedger ledger = StartQuotaLedger(1, TimePoint(seconds(100)));
     SetQuotaLimits(ledger, { { pool, ExtraSendPoolLimit(Limits()) } }, TimePoint(seconds(100)));
--- a/tests/test_fair_queue.cpp
+++ b/tests/test_fair_queue.cpp
@@ -265,6 +265,8 @@
   CPPUNIT_TEST(LessUrgentGetTheirShare);
   CPPUNIT_TEST(TakesTurnsByWeight);
   CPPUNIT_TEST(ReturningWorkspaceGetsNoExtraTurn);
+  CPPUNIT_TEST(IdlePriorityKeepsNoCredit);
+  CPPUNIT_TEST(RequestsThatWereNotServedCostNoTurn);
   CPPUNIT_TEST(LongestBacklogLosesItsNewest);
   CPPUNIT_TEST(FloodLeavesRoomForLessUrgent);
   CPPUNIT_TEST(RestoreChangesNothing);
@@ -343,6 +345,51 @@
     CPPUNIT_ASSERT_EQUAL(QueueTicket(1), PopTicket(queue));
     Push(queue, MakeRequest(4, "a"), kStart);
     CPPUNIT_ASSERT_EQUAL(QueueTicket(2), PopTicket(queue));
+    // Nor after others were served meanwhile, if its weight is low.
+    FairQueue other;
+    QueuedRequest light = MakeRequest(1, "a");
+    light.mWeight = 0.5;
+    Push(other, light, kStart);
+    for (QueueTicket ticket = 2; ticket <= 4; ++ticket) {
+      Push(other, MakeRequest(ticket, "b"), kStart);
+    }
+    CPPUNIT_ASSERT_EQUAL(QueueTicket(1), PopTicket(other));
+    CPPUNIT_ASSERT_EQUAL(QueueTicket(2), PopTicket(other));
+    Push(other, MakeRequest(5, "a"), kStart);
+    CPPUNIT_ASSERT_EQUAL(QueueTicket(3), PopTicket(other));
+  }
+
+  // Guards against less urgent requests that go first because others of their priority waited
+  // before the queue was empty.
+  void IdlePriorityKeepsNoCredit()
+  {
+    FairQueue queue;
+    Push(queue, MakeRequest(100, "low", { 0, 2 }), kStart);
+    for (QueueTicket ticket = 1; ticket <= 3; ++ticket) {
+      Push(queue, MakeRequest(ticket, "high", { 0, 0 }), kStart);
+      CPPUNIT_ASSERT_EQUAL(ticket, PopTicket(queue));
+    }
+    RemoveIf(queue, [](QueueTicket) { return true; });
+    Push(queue, MakeRequest(200, "low", { 0, 2 }), kStart);
+    for (QueueTicket ticket = 4; ticket <= 6; ++ticket) {
+      Push(queue, MakeRequest(ticket, "high", { 0, 0 }), kStart);
+      CPPUNIT_ASSERT_EQUAL(ticket, PopTicket(queue));
+    }
+  }
+
+  // Guards against a workspace that goes last because its requests were displaced or removed.
+  void RequestsThatWereNotServedCostNoTurn()
+  {
+    FairQueue queue;
+    for (QueueTicket ticket = 1; ticket <= kMaxQueuedRequests; ++ticket) {
+      Push(queue, MakeRequest(ticket, ticket <= 20 ? "many" : "some"), kStart);
+    }
+    Push(queue, MakeRequest(100, "few"), kStart);
+    CPPUNIT_ASSERT_EQUAL(19.0, queue.mPriorities.begin()->second.mWorkspaces["many"].mFinishTag);
+    RemoveIf(queue, [](QueueTicket) { return true; });
+    Push(queue, MakeRequest(101, "many"), kStart);
+    Push(queue, MakeRequest(102, "other"), kStart);
+    CPPUNIT_ASSERT_EQUAL(QueueTicket(101), PopTicket(queue));
   }
 
   void LongestBacklogLosesItsNewest()
@@ -360,6 +407,14 @@
     CPPUNIT_ASSERT(!Accepts(queue, MakeRequest(101, "many"), kStart));
     CPPUNIT_ASSERT(Push(queue, MakeRequest(101, "many"), kStart).mOutcome == PushOutcome::Full);
     CPPUNIT_ASSERT_EQUAL(kMaxQueuedRequests, queue.mSize);
+    // Of equally long backlogs, the one of the newest request loses.
+    FairQueue equal;
+    constexpr QueueTicket kHalf = kMaxQueuedRequests / 2;
+    for (QueueTicket ticket = 1; ticket <= kMaxQueuedRequests; ++ticket) {
+      const char* const name = ticket < kHalf ? "own" : ticket < 2 * kHalf ? "other" : "third";
+      Push(equal, MakeRequest(ticket, name), kStart);
+    }
+    CPPUNIT_ASSERT(!Accepts(equal, MakeRequest(100, "own"), kStart));
   }
 
   void FloodLeavesRoomForLessUrgent()
@@ -450,6 +505,7 @@
     CPPUNIT_ASSERT(Push(queue, MakeRequest(100, "", {}, now + milliseconds(150)), now).mOutcome ==
                    PushOutcome::TooLate);
     // Another workspace gets its turn earlier, and a more urgent request at once.
+    CPPUNIT_ASSERT(!Accepts(queue, MakeRequest(100, "", {}, now + milliseconds(150)), now));
     CPPUNIT_ASSERT(Accepts(queue, MakeRequest(100, "other", {}, now + milliseconds(150)), now));
     CPPUNIT_ASSERT(Accepts(queue, MakeRequest(100, "", {}, now + milliseconds(300)), now));
     // An old rate says nothing.
@@ -467,6 +523,15 @@
     CPPUNIT_ASSERT_EQUAL(Duration::zero(), TimeUntilRoom(FairQueue()));
     const Duration wait = TimeUntilRoom(DrainingQueue());
     CPPUNIT_ASSERT(wait > milliseconds(100) && wait <= milliseconds(250));
+    // The time without requests is no interval between departures.
+    FairQueue idle = DrainingQueue();
+    RemoveIf(idle, [](QueueTicket) { return true; });
+    const TimePoint later = kStart + seconds(3);
+    Push(idle, MakeRequest(100, ""), later);
+    PopTicket(idle);
+    RecordPopped(idle, later);
+    Push(idle, MakeRequest(101, ""), later);
+    CPPUNIT_ASSERT(TimeUntilRoom(idle) <= milliseconds(20));
   }
 
   // One workspace sends five times its usual load: it loses its own requests, the others none.
--- a/tests/test_link_pacing.cpp
+++ b/tests/test_link_pacing.cpp
@@ -214,6 +214,9 @@
     // Without an up-to-date primary, changes must come from the others.
     status.mPrimaryUpToDate = false;
     CPPUNIT_ASSERT(RegularPause(status, pauses) == kMaxIsolatedPause);
+    // A host that answers is not waited for.
+    CPPUNIT_ASSERT(PostponesCall(false, 1, Duration::zero()));
+    CPPUNIT_ASSERT(!PostponesCall(true, 1, Duration::zero()));
     // The secondary pause is not set.
     CPPUNIT_ASSERT(RegularPause(status, { milliseconds(250), {} }) == milliseconds(250));
   }
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -2,6 +2,7 @@
 // that run twice, refusals of requests that may have run, and work for callers that have
 // disconnected.
 #include "crashing_server.h"
+#include "gather_guard.h"
 #include "locality.h"
 #include "log.h"
 #include "process_protocol.h"
@@ -1703,3 +1704,31 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+
+// Guards against parts that are repeated or hedged without evidence about the request, which needs
+// exact numbers of shards and answers.
+class GatherGuardTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GatherGuardTest);
+  CPPUNIT_TEST(LostPartsWaitForOneAnswer);
+  CPPUNIT_TEST(HedgesNeedOneAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void LostPartsWaitForOneAnswer()
+  {
+    CPPUNIT_ASSERT(MustAwaitAnswer({ kMinShardsForEvidence, 0, 1 }));
+    CPPUNIT_ASSERT(!MustAwaitAnswer({ kMinShardsForEvidence, 0, 0 }));
+    CPPUNIT_ASSERT(!MustAwaitAnswer({ kMinShardsForEvidence, 1, 1 }));
+    CPPUNIT_ASSERT(!MustAwaitAnswer({ kMinShardsForEvidence - 1, 0, 1 }));
+  }
+
+  void HedgesNeedOneAnswer()
+  {
+    CPPUNIT_ASSERT(!MayHedge({ kMinShardsForEvidence, 0, 0 }));
+    CPPUNIT_ASSERT(MayHedge({ kMinShardsForEvidence, 1, 0 }));
+    CPPUNIT_ASSERT(MayHedge({ kMinShardsForEvidence - 1, 0, 0 }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatherGuardTest);
