Test decisions of the quota ledger and of shares one by one

Cause: the random runs of QuotaModel leave room for single faults. Change: a test for each of these decisions in QuotaLedgerTest and in the new suite QuotaShareTest. Not detected still: three in quota_share (lifetime of the statement about free time, count of requests passed in it after a reply, idle workspaces with requests that are not reported).

--- a/tests/test_quota_ledger.cpp
+++ b/tests/test_quota_ledger.cpp
@@ -51,6 +51,14 @@
   CPPUNIT_TEST(SilentGatewayIsChargedItsShare);
   CPPUNIT_TEST(NewOwnerStartsWithFewTokens);
   CPPUNIT_TEST(ReportsEndTheChargeForOldShares);
+  CPPUNIT_TEST(EarlyReportsDoNotCount);
+  CPPUNIT_TEST(LapsedShareIsReturned);
+  CPPUNIT_TEST(LoweredLimitLowersSharesAndDebt);
+  CPPUNIT_TEST(ChangedLimitEndsPromises);
+  CPPUNIT_TEST(ReservesAreLimitedAndLapse);
+  CPPUNIT_TEST(ExtraTokensOfTwoIntervalsAreLimited);
+  CPPUNIT_TEST(RestartedGatewayReturnsNothing);
+  CPPUNIT_TEST(EmptyBucketIsKept);
   CPPUNIT_TEST(AnyCallKeepsTheLedgerSound);
   CPPUNIT_TEST_SUITE_END();
 
@@ -176,6 +184,102 @@
     CPPUNIT_ASSERT(ledger.mUnknownUntil == now);
   }
 
+  // Guards against a reply of the previous owner that gives a share after the report.
+  void EarlyReportsDoNotCount()
+  {
+    QuotaLedger ledger = MakeLedger({ 10, 100 });
+    const std::vector<std::string> gateways{ "10.0.0.1" };
+    ReportShareTerm(ledger, gateways[0], 0, kStart + milliseconds(500));
+    EndUnknownShares(ledger, gateways, kStart + milliseconds(700));
+    CPPUNIT_ASSERT(ledger.mUnknownUntil == kSettled);
+  }
+
+  // Guards against tokens that are lost because a gateway falls silent.
+  void LapsedShareIsReturned()
+  {
+    QuotaLedger ledger = MakeLedger({ 10, 100 });
+    const TimePoint now = HoldShare(ledger);
+    CPPUNIT_ASSERT(Drain(ledger, 1, now + kQuotaWindow + seconds(1)) >= 9);
+  }
+
+  void LoweredLimitLowersSharesAndDebt()
+  {
+    QuotaLedger ledger = MakeLedger({ 10, 100 });
+    const TimePoint now = HoldShare(ledger);
+    SetQuotaLimits(ledger, { { "w", { 5, 50 } } }, now);
+    const auto grant = AcquireQuota(ledger, MakeCall(101, 1000), now + seconds(1))->mGrants.front();
+    // A second of the lowered rate, not of the share under the earlier one.
+    CPPUNIT_ASSERT(grant.mGranted <= 5);
+    // What gateways may hold of a previous owner is lowered too.
+    QuotaLedger started = MakeLedger({ 10, 10 });
+    AcquireQuota(started, MakeCall(1, 100), kStart);
+    SetQuotaLimits(started, { { "w", { 5, 5 } } }, kStart);
+    CPPUNIT_ASSERT(
+      AcquireQuota(started, MakeCall(2, 100), kSettled + seconds(1))->mGrants.front().mGranted >=
+      4);
+  }
+
+  // Guards against a Retry-After that follows the earlier limit.
+  void ChangedLimitEndsPromises()
+  {
+    QuotaLedger ledger = MakeLedger({ 1, 1 });
+    AcquireQuota(ledger, MakeCall(1, 100), kSettled);
+    SetQuotaLimits(ledger, { { "w", { 100, 1 } } }, kSettled);
+    const auto grant = AcquireQuota(ledger, MakeCall(2, 100), kSettled)->mGrants.front();
+    CPPUNIT_ASSERT(grant.mWait <= milliseconds(100));
+  }
+
+  void ReservesAreLimitedAndLapse()
+  {
+    QuotaLedger ledger = MakeLedger({ 100, 1000 });
+    const TimePoint now = kSettled + seconds(60);
+    const auto reserve = [&](int aGateway, std::uint64_t aNumber, TimePoint aNow) {
+      QuotaCall call = MakeCall(aNumber, 5);
+      call.mGateway = std::to_string(aGateway);
+      return AcquireQuota(ledger, call, aNow)->mGrants.front().mReserve;
+    };
+    for (int gateway = 1; gateway <= 6; ++gateway) {
+      CPPUNIT_ASSERT_EQUAL(1U, reserve(gateway, 1, now));
+    }
+    CPPUNIT_ASSERT_EQUAL(0U, reserve(7, 1, now));
+    CPPUNIT_ASSERT_EQUAL(1U, reserve(7, 2, now + kQuotaWindow + seconds(1)));
+  }
+
+  // Guards against extra tokens above the bound, which adds those of two adjacent intervals.
+  void ExtraTokensOfTwoIntervalsAreLimited()
+  {
+    QuotaLedger ledger = MakeLedger({ 10, 10 });
+    const TimePoint now = kSettled + seconds(60);
+    CPPUNIT_ASSERT_EQUAL(3U, AcquireQuota(ledger, MakeCall(1, 1), now)->mGrants[0].mGranted);
+    CPPUNIT_ASSERT_EQUAL(
+      1U, AcquireQuota(ledger, MakeCall(2, 1), now + milliseconds(1500))->mGrants[0].mGranted);
+  }
+
+  // Guards against a process that returns tokens which its predecessor used.
+  void RestartedGatewayReturnsNothing()
+  {
+    QuotaLedger ledger = MakeLedger({ 10, 20 });
+    AcquireQuota(ledger, MakeCall(1, 100), kSettled + seconds(60));
+    QuotaCall restarted = MakeCall(1, 10);
+    restarted.mIncarnation = 2;
+    restarted.mDemands.front().mReturned = 5;
+    CPPUNIT_ASSERT_EQUAL(
+      0U, AcquireQuota(ledger, restarted, kSettled + seconds(60))->mGrants.front().mGranted);
+  }
+
+  // Guards against a burst that is granted twice because the bucket was forgotten meanwhile.
+  void EmptyBucketIsKept()
+  {
+    QuotaLedger ledger = MakeLedger({ 1, 1000 });
+    const TimePoint now = kSettled + seconds(3600);
+    CPPUNIT_ASSERT(Drain(ledger, 1, now) >= 1000);
+    QuotaCall other = MakeCall(1, 1);
+    other.mGateway = "10.0.0.3";
+    other.mDemands.front().mWorkspace = "other";
+    AcquireQuota(ledger, other, now + seconds(70));
+    CPPUNIT_ASSERT(Drain(ledger, 2, now + seconds(71)) <= 71);
+  }
+
   void AnyCallKeepsTheLedgerSound()
   {
     CheckProperty("levels and shares stay within their limits", [] {
@@ -210,6 +314,27 @@
       }
     });
   }
+
+private:
+  // Takes all tokens with a call of another gateway than that of MakeCall.
+  static std::uint32_t Drain(QuotaLedger& aLedger, std::uint64_t aNumber, TimePoint aNow)
+  {
+    QuotaCall call = MakeCall(aNumber, 10'000);
+    call.mGateway = "10.0.0.2";
+    return AcquireQuota(aLedger, call, aNow)->mGrants.front().mGranted;
+  }
+
+  // Gives the gateway of MakeCall most of the rate as its share by calls up to number 100, the last
+  // of which leaves the bucket empty. Returns the time of the last call.
+  static TimePoint HoldShare(QuotaLedger& aLedger)
+  {
+    TimePoint now = kSettled;
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+      now += milliseconds(100);
+      AcquireQuota(aLedger, MakeCall(i, i < 100 ? 1 : 1000), now);
+    }
+    return now;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaLedgerTest);
--- a/tests/test_quota_model.cpp
+++ b/tests/test_quota_model.cpp
@@ -212,3 +212,104 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaModelTest);
+
+// Guards against single decisions of a gateway that the random runs above hide in their tolerance.
+class QuotaShareTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(QuotaShareTest);
+  CPPUNIT_TEST(OldAndLateRepliesAreNotUsed);
+  CPPUNIT_TEST(TokensOfAnEarlierTermAreNotReturned);
+  CPPUNIT_TEST(ShareFollowsTheLoweredLimit);
+  CPPUNIT_TEST(ReserveLapsesWithTheShare);
+  CPPUNIT_TEST(OldestTermIsReported);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void OldAndLateRepliesAreNotUsed()
+  {
+    QuotaShare share;
+    share.mTerm = 2;
+    TakeToken(share, "w", 10, kModelStart);
+    CPPUNIT_ASSERT_EQUAL(1U, Granted(share, 2, milliseconds(300)));
+    TakeToken(share, "w", 10, kModelStart);
+    CPPUNIT_ASSERT_EQUAL(0U, Granted(share, 2, milliseconds(301)));
+    TakeToken(share, "w", 10, kModelStart + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0U, Granted(share, 1, milliseconds(10)));
+  }
+
+  void TokensOfAnEarlierTermAreNotReturned()
+  {
+    QuotaShare share;
+    share.mTerm = 1;
+    KeepToken(share, "w", kModelStart);
+    ReturnToken(share, "w", false, 1, kModelStart);
+    ReturnToken(share, "w", false, 9, kModelStart);
+    CPPUNIT_ASSERT_EQUAL(1U, share.mWorkspaces["w"].mReturned);
+    TakeToken(share, "x", 10, kModelStart);
+    Granted(share, 2, milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(0U, share.mWorkspaces["w"].mReturned);
+    const QuotaCall call = BeginCall(share, kModelStart + kTokenLifetime);
+    for (const QuotaDemand& demand : call.mDemands) {
+      CPPUNIT_ASSERT_EQUAL(0U, demand.mReturned);
+    }
+  }
+
+  void ShareFollowsTheLoweredLimit()
+  {
+    QuotaShare share = WithShare();
+    TakeToken(share, "w", 5, kModelStart);
+    share.mReportDue = true;
+    const QuotaCall call = BeginCall(share, kModelStart);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, call.mDemands.at(0).mShare, 1e-9);
+  }
+
+  void ReserveLapsesWithTheShare()
+  {
+    for (const Duration after : { kQuotaWindow - milliseconds(1), kQuotaWindow }) {
+      QuotaShare share = WithShare();
+      share.mWorkspaces["w"].mShare = 0;
+      const bool passes =
+        TakeToken(share, "w", 10, kModelStart + after) == QuotaDecision::GrantedAlone;
+      CPPUNIT_ASSERT_EQUAL(after < kQuotaWindow, passes);
+    }
+  }
+
+  void OldestTermIsReported()
+  {
+    QuotaShare share = WithShare();
+    share.mWorkspaces["v"] = share.mWorkspaces["x"] = share.mWorkspaces["w"];
+    share.mWorkspaces["v"].mShareTerm = 2;
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 }, OldestShareTerm(share, kModelStart));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 0 }, OldestShareTerm(share, kModelStart + kQuotaWindow));
+  }
+
+private:
+  // Calls for what waits, and answers with one token after the delay.
+  static std::uint32_t Granted(QuotaShare& aShare, std::uint64_t aTerm, Duration aDelay)
+  {
+    const QuotaCall call = BeginCall(aShare, kModelStart);
+    QuotaReply reply;
+    reply.mTerm = aTerm;
+    for (const QuotaDemand& demand : call.mDemands) {
+      reply.mGrants.push_back({ demand.mWorkspace, 1, {}, 0, 0, {} });
+    }
+    return EndCall(aShare, reply, kModelStart + aDelay).at(0).mGranted;
+  }
+
+  // A gateway with a share of 8 and a reserve of 1 under a limit of 10.
+  static QuotaShare WithShare()
+  {
+    QuotaShare share;
+    share.mTerm = 1;
+    WorkspaceQuota& quota = share.mWorkspaces["w"];
+    quota.mRate = quota.mShareOfRate = 10;
+    quota.mShare = 8;
+    quota.mShareTerm = 1;
+    quota.mReserve = 1;
+    quota.mShareUntil = kModelStart + kQuotaWindow;
+    quota.mCreditAt = kModelStart;
+    return share;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuotaShareTest);
