Test which witnesses count for a lease and for a revision in force

Cause: five faults in authority failed no test: grants of an earlier round, of hosts that are no witnesses or of another epoch, half of the witnesses as a majority, and a pending roster whose witnesses are not asked. Change: two tests of the decisions.

--- a/tests/test_authority.cpp
+++ b/tests/test_authority.cpp
@@ -342,6 +342,8 @@
   CPPUNIT_TEST(PromiseDelaysAdoption);
   CPPUNIT_TEST(RestartedWitnessIsNotCounted);
   CPPUNIT_TEST(GoneHostCountsAsAgreeing);
+  CPPUNIT_TEST(OnlyWitnessesOfThePresentRoundGrant);
+  CPPUNIT_TEST(MajorityOfEachRosterMustRunTheRevision);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -483,6 +485,50 @@
     CPPUNIT_ASSERT_EQUAL(Revision{ 0 },
                          UpdateRevisionInForce(control, view, 2, later + kLeaseWithDrift));
   }
+
+  // Guards against a lease from hosts that are no witnesses, or from grants whose promises ended.
+  void OnlyWitnessesOfThePresentRoundGrant()
+  {
+    HostLeaseState host;
+    const TimePoint start(std::chrono::seconds(100));
+    OnSyncGrant(host, { 1, 0, 0, 1, { "a", "b", "c" } }, start, start);
+    const TimePoint first = start + kLease;
+    CPPUNIT_ASSERT(StartWitnessRound(host, first));
+    OnWitnessGrant(host, "x", first);
+    OnWitnessGrant(host, "y", first);
+    CPPUNIT_ASSERT(!MayServe(host, first));
+    const TimePoint second = first + kWitnessInterval;
+    CPPUNIT_ASSERT(StartWitnessRound(host, second));
+    OnWitnessGrant(host, "a", first);
+    OnWitnessGrant(host, "b", first);
+    CPPUNIT_ASSERT(!MayServe(host, second));
+    // The witnesses of a new epoch have not been asked.
+    HostLeaseState adopted = host;
+    OnSyncGrant(adopted, { 1, 0, 9, 2, { "a", "b", "c" } }, second, second);
+    for (HostLeaseState* const state : { &host, &adopted }) {
+      OnWitnessGrant(*state, "a", second);
+      OnWitnessGrant(*state, "b", second);
+    }
+    CPPUNIT_ASSERT(MayServe(host, second));
+    CPPUNIT_ASSERT(!MayServe(adopted, second));
+  }
+
+  // Guards against a revision that is reported in force although half of the witnesses, or those of
+  // a pending roster, can still let a host serve an older one.
+  void MajorityOfEachRosterMustRunTheRevision()
+  {
+    const TimePoint start(std::chrono::seconds(100));
+    const TimePoint later = start + std::chrono::seconds(10);
+    const auto inForce = [&](const RosterView& aView) {
+      ControlLeaseState control;
+      BeginLeading(control, 2, start);
+      RecordSync(control, "a", 1, 2, 2, 1, 2, start);
+      return UpdateRevisionInForce(control, aView, 2, later);
+    };
+    CPPUNIT_ASSERT_EQUAL(Revision{ 2 }, inForce({ 1, { "a" }, { "a" } }));
+    CPPUNIT_ASSERT_EQUAL(Revision{ 0 }, inForce({ 1, { "a", "b" }, { "a", "b" } }));
+    CPPUNIT_ASSERT_EQUAL(Revision{ 0 }, inForce({ 1, { "a" }, { "a" }, 2, { "b" } }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AuthorityTest);
