--- a/tests/test_locality.cpp
+++ b/tests/test_locality.cpp
@@ -447,6 +447,8 @@
   CPPUNIT_TEST(OnePauseIsNoOverload);
   CPPUNIT_TEST(OverloadDoesNotBecomeUsual);
   CPPUNIT_TEST(OneFailureIsNoOverload);
+  CPPUNIT_TEST(HomeStaysBehindSimilarLinks);
+  CPPUNIT_TEST(LinkIsMeasuredOnceBothHaveSamples);
   CPPUNIT_TEST(FailedReplicaIsAvoidedWhileEngaged);
   CPPUNIT_TEST_SUITE_END();
 
@@ -703,6 +705,39 @@
     inputs.mDataCentres[0].mFailureShare = FailureShare(load, kStart);
     UpdateLocality(state, inputs, rng);
     CPPUNIT_ASSERT(state.mEngaged);
+    // Without new samples, failures are forgotten.
+    CPPUNIT_ASSERT(FailureShare(load, kStart + seconds(30)) < 0.01);
+  }
+
+  // Guards against a home that alternates between data centres behind links of nearly the same
+  // length.
+  void HomeStaysBehindSimilarLinks()
+  {
+    Rng rng(1);
+    LocalityState state;
+    LocalityInputs inputs = Inputs();
+    inputs.mDataCentres[0].mUsable = 0;
+    inputs.mDataCentres[1].mLinkTime = milliseconds(4);
+    UpdateLocality(state, inputs, rng);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), state.mHome);
+    inputs.mDataCentres[2].mLinkTime = milliseconds(3);
+    UpdateLocality(state, inputs, rng);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), state.mHome);
+    inputs.mDataCentres[2].mLinkTime = milliseconds(2);
+    UpdateLocality(state, inputs, rng);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), state.mHome);
+  }
+
+  // Guards against a link whose share of the latency is read from a few samples.
+  void LinkIsMeasuredOnceBothHaveSamples()
+  {
+    LoadEstimate few;
+    LoadEstimate many;
+    many.mSamples = 100;
+    many.mBestRatio = 1.5;
+    CPPUNIT_ASSERT_EQUAL(0.2, MakeLoadBasis(few, many, 0.2).mLinkRatio);
+    few.mSamples = 100;
+    CPPUNIT_ASSERT_EQUAL(0.5, MakeLoadBasis(few, many, 0.2).mLinkRatio);
   }
 
   // While shares limit what leaves, requests must not be kept at a local replica that just failed
--- a/tests/test_snapshot.cpp
+++ b/tests/test_snapshot.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(RepartitionMidQueryRestartsOnTheNewMap);
   CPPUNIT_TEST(ReplyOfAnotherMapIsNotMerged);
   CPPUNIT_TEST(MapThatIsNotReadyDoesNotReplaceOneThatServes);
+  CPPUNIT_TEST(NewestOfEqualVersionsIsPinned);
   CPPUNIT_TEST(OlderMapServesWhileVersionsDiffer);
   CPPUNIT_TEST(ReplicaWithDifferentRangeIsNotUsed);
   CPPUNIT_TEST(WholeWaitsForAReplicaUntilTheDeadline);
@@ -163,6 +164,26 @@
     rig.mUpstreams.at("b2").mInfo.mState = UpstreamState::Ready;
     rig.Announce();
     CPPUNIT_ASSERT_EQUAL(2U, rig.Choose().mSnapshot.mMaps.at("a"));
+    // Also while no version covers all services.
+    rig.mUpstreams.at("b2").mInfo.mState = UpstreamState::Starting;
+    rig.mConfig.mCollections["desk"].mServices = { "a", "b" };
+    rig.AddUpstream("other", "b").mInfo.mVersions = { 9 };
+    rig.Announce();
+    CPPUNIT_ASSERT_EQUAL(1U, rig.Choose().mSnapshot.mMaps.at("a"));
+  }
+
+  void NewestOfEqualVersionsIsPinned()
+  {
+    Rig rig;
+    rig.Add("a1", 1, 0, {}, { 1, 2 });
+    rig.Announce();
+    CPPUNIT_ASSERT_EQUAL(IndexVersion{ 2 }, rig.Choose().mSnapshot.mVersion);
+    // A replica that rejected a version no longer serves it, whatever it announces.
+    Replica replica;
+    replica.mInfo = rig.mUpstreams.at("a1").mInfo;
+    CPPUNIT_ASSERT(ServesVersion(replica, 2));
+    replica.mRejectedVersions.insert(2);
+    CPPUNIT_ASSERT(!ServesVersion(replica, 2));
   }
 
   // Guards against losing coverage during a simultaneous repartition and index rollout, although
