Share the calls to processes between three test files

Cause: sending a request and waiting for the reply, polling, and running the loop for a time were written out in the tests of quotas, mixed builds and crashing requests. Change: they are in tests/process_caller.h. Methods, headers, time-outs and limits of polling stay in each file, because they differ.

--- a/tests/test_crashing_requests.cpp
+++ b/tests/test_crashing_requests.cpp
@@ -2,8 +2,7 @@
 // them. Coordinators, gateways and replicas are processes.
 #include "coordinator_process.h"
 #include "gateway_process.h"
-#include "http_client.h"
-#include "loop.h"
+#include "process_caller.h"
 #include "process_protocol.h"
 #include "replica_process.h"
 #include "test_address.h"
@@ -156,11 +155,7 @@
       GatewayArguments(ip, mCoordinatorIps), mFolder / fmt::format("gateway-{}.log", aIndex));
   }
 
-  void RunFor(Duration aTime)
-  {
-    mLoop.AddTimer(SteadyNow() + aTime, [this] { mLoop.Stop(); });
-    mLoop.Run();
-  }
+  void RunFor(Duration aTime) { apricotyard::RunFor(mLoop, aTime); }
 
   // Calls aTask with a pause between until the scenario ends.
   void Every(Duration aPause, std::function<void()> aTask)
@@ -176,18 +171,12 @@
            const std::string& aPath,
            const std::string& aBody = "")
   {
-    int status = 0;
     ClientRequest request;
     request.mMethod = aMethod;
     request.mAddress = aAddress;
     request.mPath = aPath;
     request.mBody = aBody;
-    mClient.Send(std::move(request), [&](const ClientReply& aReply) {
-      status = aReply.mStatus;
-      mLoop.Stop();
-    });
-    mLoop.Run();
-    return status;
+    return apricotyard::Call(mLoop, mClient, std::move(request)).mStatus;
   }
 
   void PlanChanges(TimePoint aStart)
@@ -208,33 +197,20 @@
 
   bool Poll(const std::function<bool()>& aCondition)
   {
-    for (const TimePoint end = SteadyNow() + seconds(30); SteadyNow() < end;) {
-      if (aCondition()) {
-        return true;
-      }
-      RunFor(milliseconds(50));
-    }
-    return false;
+    return apricotyard::Poll(mLoop, seconds(30), aCondition);
   }
 
   void WaitUntilServing(int aIndex)
   {
     const std::string ip = TestIp(kFirstGateway + aIndex);
-    const bool serving = Poll([&] {
-      int status = 0;
-      Send(ip, "/first", [&](int aStatus) {
-        status = aStatus;
-        mLoop.Stop();
-      });
-      mLoop.Run();
-      return status == kOk;
-    });
+    const bool serving = Poll(
+      [&] { return apricotyard::Call(mLoop, mClient, MakeRequest(ip, "/first")).mStatus == kOk; });
     CPPUNIT_ASSERT_MESSAGE("gateway " + ip + " does not serve", serving);
   }
 
   std::string NextGateway() { return TestIp(kFirstGateway + mNextGateway++ % kGateways); }
 
-  void Send(const std::string& aGateway, const std::string& aPath, std::function<void(int)> aDone)
+  ClientRequest MakeRequest(const std::string& aGateway, const std::string& aPath)
   {
     ClientRequest request;
     request.mMethod = "GET";
@@ -243,7 +219,12 @@
     request.mForwarded = true;
     request.mTimeout = seconds(3);
     request.mHeaders = { { "Host", "h" }, { "X-Id", fmt::format("r-{}", ++mRequests) } };
-    mClient.Send(std::move(request),
+    return request;
+  }
+
+  void Send(const std::string& aGateway, const std::string& aPath, std::function<void(int)> aDone)
+  {
+    mClient.Send(MakeRequest(aGateway, aPath),
                  [done = std::move(aDone)](const ClientReply& aReply) { done(aReply.mStatus); });
   }
 
--- a/tests/test_mixed_builds.cpp
+++ b/tests/test_mixed_builds.cpp
@@ -3,9 +3,8 @@
 // one after the other.
 #include "coordinator_process.h"
 #include "gateway_process.h"
-#include "http_client.h"
-#include "loop.h"
 #include "mixed_builds.h"
+#include "process_caller.h"
 #include "process_protocol.h"
 #include "replica_process.h"
 #include "test_address.h"
@@ -142,8 +141,6 @@
                    const std::string& aPath,
                    const std::string& aBody = "")
   {
-    ClientReply result;
-    bool done = false;
     ClientRequest request;
     request.mMethod = aMethod;
     request.mAddress = aAddress;
@@ -154,32 +151,14 @@
     if (request.mForwarded) {
       request.mHeaders = { { "Host", "h" }, { "X-Id", "request" } };
     }
-    mClient.Send(std::move(request), [&](ClientReply aReply) {
-      result = std::move(aReply);
-      done = true;
-      mLoop.Stop();
-    });
-    while (!done) {
-      mLoop.Run();
-    }
-    return result;
+    return apricotyard::Call(mLoop, mClient, std::move(request));
   }
 
-  void RunFor(Duration aTime)
-  {
-    mLoop.AddTimer(SteadyNow() + aTime, [this] { mLoop.Stop(); });
-    mLoop.Run();
-  }
+  void RunFor(Duration aTime) { apricotyard::RunFor(mLoop, aTime); }
 
   bool Poll(const std::function<bool()>& aCondition)
   {
-    for (const TimePoint end = SteadyNow() + kReturnTime; SteadyNow() < end;) {
-      if (aCondition()) {
-        return true;
-      }
-      RunFor(milliseconds(50));
-    }
-    return false;
+    return apricotyard::Poll(mLoop, kReturnTime, aCondition);
   }
 
   const std::filesystem::path mFolder;
--- a/tests/test_quota_processes.cpp
+++ b/tests/test_quota_processes.cpp
@@ -2,8 +2,7 @@
 // forward calls, gateways that do not find a new owner, and restarts that void a limit.
 #include "coordinator_process.h"
 #include "gateway_process.h"
-#include "http_client.h"
-#include "loop.h"
+#include "process_caller.h"
 #include "process_protocol.h"
 #include "quota_client.h"
 #include "quota_ledger.h"
@@ -198,21 +197,11 @@
     }));
   }
 
-  void RunFor(Duration aTime)
-  {
-    mLoop.AddTimer(SteadyNow() + aTime, [this] { mLoop.Stop(); });
-    mLoop.Run();
-  }
+  void RunFor(Duration aTime) { apricotyard::RunFor(mLoop, aTime); }
 
   bool Poll(const std::function<bool()>& aCondition)
   {
-    for (const TimePoint end = SteadyNow() + seconds(30); SteadyNow() < end;) {
-      if (aCondition()) {
-        return true;
-      }
-      RunFor(milliseconds(50));
-    }
-    return false;
+    return apricotyard::Poll(mLoop, seconds(30), aCondition);
   }
 
   // A request or call without a key.
@@ -221,8 +210,6 @@
                    const std::string& aPath,
                    const std::string& aBody = "")
   {
-    ClientReply result;
-    bool done = false;
     ClientRequest request;
     request.mMethod = aMethod;
     request.mAddress = aAddress;
@@ -233,15 +220,7 @@
     if (request.mForwarded) {
       request.mHeaders = { { "Host", "h" }, { "X-Id", "first" }, { "X-Key", "secret" } };
     }
-    mClient.Send(std::move(request), [&](ClientReply aReply) {
-      result = std::move(aReply);
-      done = true;
-      mLoop.Stop();
-    });
-    while (!done) {
-      mLoop.Run();
-    }
-    return result;
+    return apricotyard::Call(mLoop, mClient, std::move(request));
   }
 
   void SendNext()
