Revert "Fetch records of other coordinators from where the primary was complete"

Cause: the change answered a supposed cause that was not the one. Supposed now: announcements (1,466 in 1.2 s) and calls of gateways together exceed the processor; announcements are then late, upstreams turn to the next coordinator, and each such record goes to every gateway. Change: is taken back.

--- a/src/fleet_client.cpp
+++ b/src/fleet_client.cpp
@@ -3,7 +3,6 @@
 #include "fleet.grpc.pb.h"
 #include "fleet_messages.h"
 #include "log.h"
-#include "record_cursor.h"
 #include "settings.h"
 
 #include <algorithm>
@@ -90,8 +89,6 @@
   // Whether the primary had the records of all coordinators and was in contact with its group when
   // it last replied.
   bool mPrimaryHearsAll = true;
-  // Whether this host then also had all records that the primary offers.
-  bool mPrimaryComplete = false;
   bool mPrimaryUpToDate = false;
   // When a coordinator was reachable last, and when the primary was up to date last.
   TimePoint mReachableAt = SteadyNow();
@@ -194,8 +191,7 @@
     request.set_document_digest(mShared.mDocument.mDigest);
     request.set_wants_read_age(mShared.mReadAgeWanted);
     request.set_own_records_only(!WantsAllRecords());
-    request.set_cursor(request.own_records_only() ? mOwnCursor
-                                                  : std::max(mAllCursor, mRecordCursor.mSettled));
+    request.set_cursor(request.own_records_only() ? mOwnCursor : mAllCursor);
     request.set_cursor_incarnation(mCursorIncarnation);
     mReportsKnownCrashes = mCursorIncarnation != mCrashesReportedTo;
     for (const Strike& crash :
@@ -274,18 +270,12 @@
     if (mDeliver(std::move(reply), sentAt)) {
       if (mCursorIncarnation != incarnation) {
         mAllCursor = 0;
-        mRecordCursor = {};
       }
       mOwnCursor = cursor;
       mCrashCursor = crashCursor;
       mCrashesReportedTo = mReportsKnownCrashes ? incarnation : mCrashesReportedTo;
       mAllCursor = request.own_records_only() ? mAllCursor : cursor;
       mCursorIncarnation = incarnation;
-      absl::MutexLock lock(&mShared.mMutex);
-      if (IsPrimary()) {
-        mShared.mPrimaryComplete = mShared.mPrimaryHearsAll && !more;
-      }
-      UpdateRecordCursor(mRecordCursor, cursor, mShared.mPrimaryComplete, SteadyNow());
     }
     absl::MutexLock lock(&mShared.mMutex);
     mFetchNow |= more || (request.own_records_only() && WantsAllRecords());
@@ -519,7 +509,6 @@
   // all coordinators, its cursor of crashes, and the incarnation of the coordinator that sent it.
   std::uint64_t mOwnCursor = 0;
   std::uint64_t mAllCursor = 0;
-  RecordCursor mRecordCursor;
   std::uint64_t mCrashCursor = 0;
   std::uint64_t mCursorIncarnation = 0;
   // Whether the last request reported all known crashes, and the incarnation that got them last.
