Name the terms of quotas, and mend a name that the linter rejects

Change: a list of terms in quota_ledger.h, reasons at four places, mUpstreamByChange for the list of changes.

--- a/src/fleet_registry.cpp
+++ b/src/fleet_registry.cpp
@@ -32,9 +32,9 @@
 {
   for (const std::string& id : TakeChanges(aRegistry.mDirectory)) {
     std::uint64_t& number = aRegistry.mChangedAt[id];
-    aRegistry.mChanges.erase(number);
+    aRegistry.mUpstreamByChange.erase(number);
     number = ++aRegistry.mCursor;
-    aRegistry.mChanges.emplace(number, id);
+    aRegistry.mUpstreamByChange.emplace(number, id);
   }
 }
 
@@ -107,7 +107,7 @@
 {
   ExpireLeases(aRegistry.mDirectory, aNow);
   AssignChangeNumbers(aRegistry);
-  std::erase_if(aRegistry.mChanges, [&aRegistry](const auto& aChange) {
+  std::erase_if(aRegistry.mUpstreamByChange, [&aRegistry](const auto& aChange) {
     const bool forgotten = !aRegistry.mDirectory.mRecords.contains(aChange.second);
     if (forgotten) {
       aRegistry.mChangedAt.erase(aChange.second);
@@ -132,7 +132,8 @@
   changes.mCursor = aRegistry.mCursor;
   const Directory& directory = aRegistry.mDirectory;
   std::uint64_t last = aCursor;
-  for (auto change = aRegistry.mChanges.upper_bound(aCursor); change != aRegistry.mChanges.end();
+  for (auto change = aRegistry.mUpstreamByChange.upper_bound(aCursor);
+       change != aRegistry.mUpstreamByChange.end();
        ++change) {
     const auto record = directory.mRecords.find(change->second);
     if (record == directory.mRecords.end() || !IsInScope(directory, record->second, aScope)) {
--- a/src/fleet_registry.h
+++ b/src/fleet_registry.h
@@ -60,10 +60,11 @@
 {
   Directory mDirectory;
   // Changes are numbered. mCursor is the number of the last change, mChangedAt holds the number of
-  // the last change of each upstream's record, and mChanges the upstreams by these numbers.
+  // the last change of each upstream's record, and mUpstreamByChange the upstreams by these
+  // numbers.
   std::uint64_t mCursor = 0;
   std::map<std::string, std::uint64_t> mChangedAt;
-  std::map<std::uint64_t, std::string> mChanges;
+  std::map<std::uint64_t, std::string> mUpstreamByChange;
   // Keyed by the IP address of the host.
   std::map<std::string, KnownHost> mHosts;
   std::map<std::string, LastSync> mLastSyncs;
@@ -124,7 +125,7 @@
 };
 
 // Returns the records whose change number is greater than aCursor, in the order of their changes.
-// The time follows the number of such records and not that of all. The pointers are valid until the
+// Takes time linear in the changes after aCursor, in any scope. The pointers are valid until the
 // registry is changed.
 std::vector<const DirectoryRecord*>
 ChangedSince(const FleetRegistry& aRegistry, std::uint64_t aCursor, RecordScope aScope);
--- a/src/quota_ledger.cpp
+++ b/src/quota_ledger.cpp
@@ -147,8 +147,8 @@
             bool aSameTerm,
             TimePoint aNow)
 {
-  // A share of which the gateway knows nothing is not given back: a reply was lost, or the process
-  // is a new one.
+  // The charge since the last call is returned only if the gateway confirms the term; otherwise a
+  // reply was lost or the process is a new one.
   const TimePoint chargedUntil = std::min(aNow, aHolder.mHeardAt + kQuotaWindow);
   if (aHolder.mShare > 0) {
     if (aNow > chargedUntil) {
--- a/src/quota_ledger.h
+++ b/src/quota_ledger.h
@@ -3,6 +3,15 @@
 //
 // Inputs: the limits of the document and the calls of gateways. Output: tokens, the wait until the
 // next one, and the share that a gateway may use while it cannot reach an owner.
+//
+//   token          permission for one request; it expires after kTokenLifetime (quota_share.h)
+//   extra          token granted beyond those wanted, for the next request of the same gateway
+//   share          rate at which a gateway may let requests pass without asking; charged in advance
+//   reserve        one request beyond the share, for gateways whose share is below 1 per second
+//   alone          passed by share, reserve or free time, without a token
+//   free time      time without an owner in which gateways let pass what they usually get
+//   unknown share  rate charged for shares that gateways may hold of a previous owner
+//   holder         use of one workspace by one gateway
 #ifndef APRICOTYARD_QUOTA_LEDGER_H
 #define APRICOTYARD_QUOTA_LEDGER_H
 
--- a/src/relay_evacuation.cpp
+++ b/src/relay_evacuation.cpp
@@ -35,6 +35,7 @@
     const std::size_t index = found->second.mSubrequestIndex;
     CancelAttempt(id);
     RelaySubrequest& subrequest = relayed->mSubrequests[index];
+    // The attempt was not sent, so that it cannot have run.
     --subrequest.mPossibleRuns;
     if (relayed->mFinished || subrequest.mAnswered || relayed->mPeerTransfer != 0) {
       continue;
--- a/src/relay_locality.cpp
+++ b/src/relay_locality.cpp
@@ -1,3 +1,5 @@
+// Feeds `locality` with what this gateway measures and applies the shares that it decides. See
+// docs/design/locality.md.
 #include "relay_state.h"
 
 #include <cmath>
--- a/src/relay_quota.cpp
+++ b/src/relay_quota.cpp
@@ -11,8 +11,8 @@
 
 // A request whose token is expected within this time waits for it, if its objective allows.
 constexpr Duration kMaxTokenWait = std::chrono::milliseconds(40);
-// Margin after the time of a call until it has failed without any report, for example because the
-// loop's queue was full.
+// After the time limit of a call and this margin, a call without any report counts as failed, for
+// example because the loop's queue was full.
 constexpr Duration kCallTimeoutMargin = std::chrono::milliseconds(50);
 // Retry-After is longer than the expected wait by up to this share of it and up to this time, so
 // that callers do not return at the same time.
@@ -196,6 +196,7 @@
   }
   std::int64_t refused = 0;
   for (const std::shared_ptr<RelayedRequest>& relayed : asked) {
+    // Granted tokens are used first.
     if (tokens > 0) {
       const bool alone = tokens <= aOutcome.mAlone;
       --tokens;
--- a/tests/test_fleet_registry.cpp
+++ b/tests/test_fleet_registry.cpp
@@ -221,14 +221,14 @@
         RegisterUpstream(registry, info, kStart);
       }
     }
-    CPPUNIT_ASSERT_EQUAL(std::size_t(500), registry.mChanges.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(500), registry.mUpstreamByChange.size());
     const std::uint64_t cursor = registry.mCursor;
     RegisterUpstream(registry, MakeAnnouncement("new", 5, 1), kStart);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), ChangedSince(registry, cursor, RecordScope::All).size());
-    CPPUNIT_ASSERT_EQUAL(registry.mCursor, registry.mChanges.rbegin()->first);
+    CPPUNIT_ASSERT_EQUAL(registry.mCursor, registry.mUpstreamByChange.rbegin()->first);
     ExpireRegistry(registry, kStart + seconds(6));
     ExpireRegistry(registry, kStart + seconds(7) + kRecordRetention);
-    CPPUNIT_ASSERT(registry.mChanges.empty());
+    CPPUNIT_ASSERT(registry.mUpstreamByChange.empty());
     CPPUNIT_ASSERT(registry.mChangedAt.empty());
   }
 
--- a/tests/test_mixed_builds.cpp
+++ b/tests/test_mixed_builds.cpp
@@ -38,8 +38,8 @@
 std::string&
 PreviousProgram()
 {
-  static std::string program;
-  return program;
+  static std::string sProgram;
+  return sProgram;
 }
 
 // Three coordinators, two gateways and four replicas, and callers that ask the other gateway once
