Log responses that do not reach the caller

Change: ResponseUndelivered (1008) with the library's reason, when a connection ends after its request was answered.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -108,6 +108,7 @@
   MHD_Connection* mConnection = nullptr;
   HttpRequest mRequest;
   HttpResponse mResponse;
+  std::string mPeer;
   // Bytes of the body that were received, whether or not they were kept.
   std::size_t mUploadedBytes = 0;
   bool mBodyTooLarge = false;
@@ -197,7 +198,8 @@
   MHD_get_connection_values(aConnection, MHD_GET_ARGUMENT_KIND, CollectArgument, &added);
   const MHD_ConnectionInfo* const info =
     MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-  added.mRequest.mPeer = PeerText(info != nullptr ? info->client_addr : nullptr);
+  added.mPeer = PeerText(info != nullptr ? info->client_addr : nullptr);
+  added.mRequest.mPeer = added.mPeer;
   ++aServer->mOpenRequests;
   return exchange;
 }
@@ -364,12 +366,18 @@
 HandleCompleted(void* aClosure,
                 MHD_Connection* /*aConnection*/,
                 void** aExchange,
-                MHD_RequestTerminationCode /*aCode*/)
+                MHD_RequestTerminationCode aCode)
 {
   auto* const exchange = static_cast<std::shared_ptr<Exchange>*>(*aExchange);
   if (exchange == nullptr) {
     return;
   }
+  if ((*exchange)->mAnswered && aCode != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+    LogEvent(Event::ResponseUndelivered,
+             { { "peer", (*exchange)->mPeer },
+               { "status", (*exchange)->mResponse.mStatus },
+               { "reason", static_cast<int>(aCode) } });
+  }
   (*exchange)->mClosed = true;
   --(*static_cast<std::shared_ptr<HttpServer::State>*>(aClosure))->mOpenRequests;
   delete exchange;
