Reject replies with a status that HTTP does not define

Callers saw: with one replica that answers status 000, 504 after the whole deadline (2.5 s), or 200 with the bodies of two replies (the users' trial); with 600 the caller got 600. Cause: the reply parser took each status below 200 for an interim reply, whose body stayed in the reply, and passed each other status on. docs/incidents/odd-statuses.md. Ruled out: that the relay takes status 0 for 'no reply yet': the reply did not complete. Change: a status below 100 or above 599, 101, and an interim reply with a body make a reply malformed.

--- a/src/reply_parser.cpp
+++ b/src/reply_parser.cpp
@@ -20,7 +20,9 @@
 constexpr std::size_t kMaxHeaders = 128;
 // Limit for interim replies before the final one. Servers send one or two.
 constexpr int kMaxInterimReplies = 8;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 constexpr int kSwitchingProtocols = 101;
 
 std::string_view
@@ -51,8 +53,14 @@
 private:
   void on_request_impl(http::verb, string_view, string_view, int, BeastError&) override {}
 
-  void on_response_impl(int aCode, string_view, int, BeastError&) override
+  // A status that HTTP does not define says nothing about the request, and a switch of protocols
+  // was not asked for.
+  void on_response_impl(int aCode, string_view, int, BeastError& aError) override
   {
+    if (aCode < kFirstStatus || aCode > kLastStatus || aCode == kSwitchingProtocols) {
+      aError = http::error::bad_status;
+      return;
+    }
     mReply.mStatus = aCode;
   }
 
@@ -80,6 +88,11 @@
 
   void on_header_impl(BeastError& aError) override
   {
+    // The body of an interim reply would be taken for the next reply.
+    if (mReply.mStatus < kFirstFinalStatus && (chunked() || content_length().value_or(0) != 0)) {
+      aError = http::error::bad_value;
+      return;
+    }
     const bool required =
       !mRequest.mExpectedHeader.mName.empty() && !mRequest.mExpectedHeaderOptional;
     if (required && !mExpectedHeaderSeen && mReply.mStatus >= kFirstFinalStatus) {
@@ -136,10 +149,7 @@
     return aError == http::error::body_limit ? ParseStep::TooLarge : ParseStep::Malformed;
   }
 
-  bool IsInterim() const
-  {
-    return mReply.mStatus < kFirstFinalStatus && mReply.mStatus != kSwitchingProtocols;
-  }
+  bool IsInterim() const { return mReply.mStatus < kFirstFinalStatus; }
 
   const ClientRequest& mRequest;
   ClientReply mReply;
--- a/src/reply_parser.h
+++ b/src/reply_parser.h
@@ -21,7 +21,8 @@
   Mismatched,
 };
 
-// Parses one final reply. Interim (1xx) replies before it are skipped.
+// Parses one final reply with a status of 200 to 599. Interim (1xx) replies before it are skipped;
+// they must not have a body or switch the protocol.
 class ReplyParser
 {
 public:
