Close HTTP/1.0 connections after the response, and free buffers in one place

Cause: a client of HTTP/1.0 keeps a connection only if the response says so, which the new server does not. The linter rejected a copy in the server, and a widening multiplication in a test. Two files had the same function to free a buffer. Change: HTTP/1.0 connections end with the response; release.h; the linter's two findings.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.h"
 
+#include "release.h"
 #include "reply_parser.h"
 #include "settings.h"
 #include "socket_address.h"
@@ -107,14 +108,6 @@
          strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
 }
 
-// Frees the memory of a container. An assignment of an empty string would keep it.
-template<typename Container>
-void
-Release(Container& aContainer)
-{
-  Container().swap(aContainer);
-}
-
 bool
 HasHost(const std::vector<HttpHeader>& aHeaders)
 {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "http_response.h"
 #include "log.h"
+#include "release.h"
 #include "request_parser.h"
 #include "settings.h"
 #include "socket_address.h"
@@ -131,13 +132,6 @@
   return fd;
 }
 
-// Frees the buffer. An assignment of an empty string would keep it.
-void
-Release(std::string& aText)
-{
-  std::string().swap(aText);
-}
-
 std::string
 DateText(std::time_t aSeconds)
 {
@@ -550,7 +544,7 @@
     return;
   }
   // Keeps the connection alive while it is removed from the containers below.
-  const ConnectionPtr owner = aConnection;
+  const auto owner = mConnections.extract(aConnection);
   if (connection.mPhase == Phase::Writing && connection.mWritten < connection.mOutput.size() &&
       !connection.mCallerLeft) {
     LogEvent(Event::ResponseUndelivered,
@@ -568,7 +562,6 @@
   connection.mParser.reset();
   Release(connection.mOutput);
   Release(connection.mRest);
-  mConnections.erase(owner);
   StartAccepting();
 }
 
--- a/src/request_parser.cpp
+++ b/src/request_parser.cpp
@@ -15,6 +15,8 @@
 using boost::beast::string_view;
 using BeastError = boost::beast::error_code;
 
+// HTTP/1.0 as Beast writes it.
+constexpr int kVersion10 = 10;
 constexpr std::string_view kLineEnd = "\r\n";
 // Limit for a chunk's size line with its extensions, and for trailers.
 constexpr std::size_t kMaxFramingBytes = std::size_t{ 8 } * 1024;
@@ -74,14 +76,16 @@
   }
 
   bool HasDuplicateHeader() const { return mDuplicateHeader; }
+  bool IsVersion10() const { return mIsVersion10; }
 
 private:
   void on_request_impl(http::verb,
                        string_view aMethod,
                        string_view aTarget,
-                       int,
+                       int aVersion,
                        BeastError&) override
   {
+    mIsVersion10 = aVersion == kVersion10;
     mRequest.mMethod = ToStringView(aMethod);
     const std::string_view target = ToStringView(aTarget);
     const std::size_t question = target.find('?');
@@ -140,6 +144,7 @@
   const bool mPreserveRaw;
   HttpRequest& mRequest;
   bool mDuplicateHeader = false;
+  bool mIsVersion10 = false;
 };
 
 } // namespace
@@ -322,7 +327,8 @@
 bool
 RequestParser::KeepsConnection() const
 {
-  return mState->mParser.keep_alive();
+  // HTTP/1.0 needs a header to keep a connection, which the server does not send.
+  return mState->mParser.keep_alive() && !mState->mParser.IsVersion10();
 }
 
 std::string
--- a/tests/test_request_limits.cpp
+++ b/tests/test_request_limits.cpp
@@ -327,7 +327,8 @@
         CPPUNIT_ASSERT(caller.Input().size() > before);
       }
       CPPUNIT_ASSERT_EQUAL(std::string("200"), FirstStatus(caller));
-      CPPUNIT_ASSERT(caller.Input().size() > fixture.mResponse.mBody.size() + 300 * 100);
+      CPPUNIT_ASSERT(caller.Input().size() >
+                     fixture.mResponse.mBody.size() + std::size_t{ 300 } * 100);
     }
   }
 
